--- /dev/null
+++ b/src/commands.h
@@ -0,0 +1,30 @@
+#ifndef GENTIANDEAL_SRC_COMMANDS_H_
+#define GENTIANDEAL_SRC_COMMANDS_H_
+
+#include <string>
+#include <vector>
+
+/// Subcommands of the binary. Each takes the words after its name and returns
+/// an `ExitCode`.
+namespace gentiandeal {
+
+enum ExitCode : int {
+  kExitOk = 0,
+  kExitFailed = 1,       ///< The answer was "not run", or a check failed.
+  kExitUsage = 2,        ///< The command line is not valid.
+  kExitUnavailable = 3,  ///< The instance or the platform can't be reached.
+  kExitMayHaveRun = 4,   ///< The answer was "may have run".
+  kExitConflict = 5,     ///< Another operator changed the branch first.
+};
+
+using Words = std::vector<std::string>;
+
+int RunServe(const Words& words);
+int RunSettings(const Words& words);
+int RunSubmit(const Words& words);
+int RunStatus(const Words& words);
+int RunLoad(const Words& words);
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_COMMANDS_H_
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
