Add the HTTP sides: guarded callers' server and workers' client

Cause: libevhtp answers ambiguous framing with 200, loses pipelined requests, closes silently on bad lengths, and crashes the process on an unknown method; evhttp can't tell a body cut by a close from a whole one. Ruled out: hooks of the library (parse errors reach none of them, the process is gone before on an unknown method). Change: a filter in front of the library passes one checked request at a time; the workers' client reports whether a byte left, and closes what did not end cleanly. Conclusion: nothing behind a refused head is submitted.

--- /dev/null
+++ b/src/guarded_connection.cc
@@ -0,0 +1,222 @@
+#include "guarded_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "job_json.h"
+#include "request_guard.h"
+
+namespace gentiandeal {
+namespace {
+
+/// A caller has this long from the first byte of a request to its last.
+constexpr Duration kRequestTimeout{10000};
+/// A connection without a request is closed after this long.
+constexpr Duration kIdleTimeout{60000};
+/// How long a refused sender may go on sending before the close.
+constexpr Duration kLingerTimeout{2000};
+constexpr size_t kInputHighWater = 256 * 1024;
+
+std::string_view ReasonPhrase(int status) {
+  switch (status) {
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Payload Too Large";
+    case 414:
+      return "URI Too Long";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "Bad Request";
+  }
+}
+
+std::string RefusalText(int status, Errc error, std::string_view detail) {
+  JobAnswer answer;
+  answer.error_ = error;
+  const std::string body = AnswerToJson(answer, detail);
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+  text += ReasonPhrase(status);
+  text += "\r\nContent-Type: application/json";
+  text += "\r\nGentiandeal-Outcome: not-run";
+  text += "\r\nConnection: close";
+  text += "\r\nContent-Length: " + std::to_string(body.size());
+  text += "\r\n\r\n" + body;
+  return text;
+}
+
+}  // namespace
+
+GuardedConnection::GuardedConnection(event_base* base, evhtp_connection_t* conn)
+    : conn_(conn),
+      socket_(conn->bev),
+      close_event_(event_new(base, -1, 0, &OnClose, conn)),
+      since_(clock_.Now()) {
+  bufferevent_data_cb read = nullptr;
+  bufferevent_data_cb write = nullptr;
+  bufferevent_event_cb event = nullptr;
+  void* arg = nullptr;
+  bufferevent_getcb(socket_, &read, &write, &event, &arg);
+  bufferevent* filter = bufferevent_filter_new(
+      socket_, &OnInput, nullptr, BEV_OPT_CLOSE_ON_FREE, nullptr, this);
+  bufferevent_setcb(filter, read, write, event, arg);
+  bufferevent_enable(filter, EV_READ | EV_WRITE);
+  bufferevent_setwatermark(socket_, EV_READ, 0, kInputHighWater);
+  evhtp_connection_set_bev(conn, filter);
+  evbuffer_add_cb(bufferevent_get_output(socket_), &OnOutput, this);
+}
+
+GuardedConnection::~GuardedConnection() {
+  evbuffer_remove_cb(bufferevent_get_output(socket_), &OnOutput, this);
+  event_free(close_event_);
+}
+
+void GuardedConnection::OnRequest() {
+  reading_ = false;
+  phase_ = Phase::kAnswer;
+}
+
+void GuardedConnection::OnAnswered(bool last) {
+  since_ = clock_.Now();
+  if (last) return CloseWhenSent();
+  phase_ = Phase::kHead;
+  // Lets in a request that arrived before the answer.
+  bufferevent_trigger(socket_, EV_READ,
+                      BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void GuardedConnection::Refuse(int status, Errc error,
+                               std::string_view detail) {
+  if (phase_ == Phase::kClosing) return;
+  refused_ = true;
+  since_ = clock_.Now();
+  const std::string text = RefusalText(status, error, detail);
+  bufferevent_write(socket_, text.data(), text.size());
+  CloseWhenSent();
+}
+
+void GuardedConnection::OnLibraryClose() {
+  if (!reading_ || refused_) return;
+  evbuffer* output = bufferevent_get_output(socket_);
+  if (evbuffer_get_length(output) > 0) return;
+  refused_ = true;
+  // The library frees the connection next, so the buffer would be lost.
+  const std::string text =
+      RefusalText(400, Errc::kBadRequest,
+                  "body is not valid: send Content-Length or good chunks");
+  const int fd = bufferevent_getfd(socket_);
+  // A refusal that can't be written leaves the close as the answer.
+  [[maybe_unused]] const ssize_t sent =
+      send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  shutdown(fd, SHUT_WR);
+}
+
+void GuardedConnection::CloseSoon() {
+  event_active(close_event_, EV_TIMEOUT, 0);
+}
+
+bool GuardedConnection::Sweep(Time now) {
+  const Duration age = now - since_;
+  if (phase_ == Phase::kClosing) {
+    if (age > kLingerTimeout) CloseSoon();
+    return false;
+  }
+  if (reading_) {
+    if (age <= kRequestTimeout) return false;
+    Refuse(408, Errc::kBadRequest, "request must arrive whole within 10000 ms");
+    return true;
+  }
+  if (phase_ == Phase::kHead && age > kIdleTimeout) {
+    CloseSoon();
+  }
+  return false;
+}
+
+bufferevent_filter_result GuardedConnection::OnInput(evbuffer* from,
+                                                     evbuffer* to, ev_ssize_t,
+                                                     bufferevent_flush_mode,
+                                                     void* arg) {
+  auto* self = static_cast<GuardedConnection*>(arg);
+  if (self->phase_ == Phase::kClosing) {
+    evbuffer_drain(from, evbuffer_get_length(from));
+    return BEV_NEED_MORE;
+  }
+  if (self->phase_ == Phase::kHead && !self->ReadHead(from)) {
+    return BEV_NEED_MORE;
+  }
+  if (self->phase_ != Phase::kBody) return BEV_NEED_MORE;
+  return self->PassOn(from, to) > 0 ? BEV_OK : BEV_NEED_MORE;
+}
+
+// Returns whether a whole, good head lies at the front of `from`.
+bool GuardedConnection::ReadHead(evbuffer* from) {
+  const size_t size =
+      std::min(evbuffer_get_length(from), config::kMaxHeadBytes + 1);
+  if (size == 0) return false;
+  if (!reading_) {
+    reading_ = true;
+    since_ = clock_.Now();
+  }
+  const auto* bytes = reinterpret_cast<const char*>(
+      evbuffer_pullup(from, static_cast<ev_ssize_t>(size)));
+  const HeadCheck check = CheckHead({bytes, size});
+  if (check.state_ == HeadCheck::State::kBad) {
+    Refuse(check.status_, check.error_, check.detail_);
+    return false;
+  }
+  if (check.state_ == HeadCheck::State::kIncomplete) return false;
+  phase_ = Phase::kBody;
+  chunked_ = check.chunked_;
+  left_ = check.head_bytes_ + check.body_bytes_;
+  body_read_ = 0;
+  return true;
+}
+
+// Returns the number of bytes passed.
+size_t GuardedConnection::PassOn(evbuffer* from, evbuffer* to) {
+  size_t size = evbuffer_get_length(from);
+  if (!chunked_) size = std::min<size_t>(size, left_);
+  body_read_ += size;
+  if (body_read_ > config::kMaxHeadBytes + config::kMaxBodyBytes) {
+    Refuse(413, Errc::kBodyTooLarge, "body must be at most 4194304 bytes");
+    return 0;
+  }
+  evbuffer_remove_buffer(from, to, size);
+  if (chunked_) return size;
+  left_ -= size;
+  if (left_ == 0) phase_ = Phase::kAnswer;
+  return size;
+}
+
+void GuardedConnection::CloseWhenSent() {
+  phase_ = Phase::kClosing;
+  reading_ = false;
+  if (evbuffer_get_length(bufferevent_get_output(socket_)) == 0) {
+    CloseSoon();
+  }
+}
+
+// Half-closes once the last answer has left. The sender then has
+// `kLingerTimeout` to read it; a close at once could reset the connection.
+void GuardedConnection::OnOutput(evbuffer* buffer, const evbuffer_cb_info* info,
+                                 void* arg) {
+  auto* self = static_cast<GuardedConnection*>(arg);
+  if (self->phase_ != Phase::kClosing || info->n_deleted == 0) return;
+  if (evbuffer_get_length(buffer) > 0 || self->shut_) return;
+  self->shut_ = true;
+  shutdown(bufferevent_getfd(self->socket_), SHUT_WR);
+}
+
+void GuardedConnection::OnClose(int, short, void* arg) {
+  evhtp_connection_free(static_cast<evhtp_connection_t*>(arg));
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/job_json.cc
@@ -0,0 +1,425 @@
+#include "job_json.h"
+
+#include <openssl/evp.h>
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+#include "caller_request.h"
+
+namespace gentiandeal {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int64_t kMaxMillis = 24LL * 3600 * 1000;
+constexpr uint32_t kMaxDeclaredSize = 4096;
+
+std::string ToBase64(const std::string& bytes) {
+  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<size_t>(length));
+  return text;
+}
+
+bool FromBase64(const std::string& text, std::string* out) {
+  if (text.size() % 4 != 0) return false;
+  out->resize(text.size() / 4 * 3);
+  const int length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out->data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (length < 0) return false;
+  size_t padding = 0;
+  while (padding < 2 && padding < text.size() &&
+         text[text.size() - 1 - padding] == '=') {
+    ++padding;
+  }
+  out->resize(static_cast<size_t>(length) - padding);
+  return true;
+}
+
+// Length of the UTF-8 sequence that starts with `lead`, or 0.
+size_t SequenceLength(uint8_t lead) {
+  if (lead < 0x80) return 1;
+  if (lead >= 0xc2 && lead < 0xe0) return 2;
+  if (lead >= 0xe0 && lead < 0xf0) return 3;
+  if (lead >= 0xf0 && lead < 0xf5) return 4;
+  return 0;
+}
+
+// Rejects overlong forms, surrogates and code points above U+10FFFF.
+bool SecondByteAllowed(uint8_t lead, uint8_t second) {
+  if (lead == 0xe0) return second >= 0xa0;
+  if (lead == 0xed) return second < 0xa0;
+  if (lead == 0xf0) return second >= 0x90;
+  if (lead == 0xf4) return second < 0x90;
+  return true;
+}
+
+bool IsUtf8(const std::string& text) {
+  size_t at = 0;
+  while (at < text.size()) {
+    const auto lead = static_cast<uint8_t>(text[at]);
+    const size_t length = SequenceLength(lead);
+    if (length == 0 || at + length > text.size()) return false;
+    for (size_t i = 1; i < length; ++i) {
+      const auto next = static_cast<uint8_t>(text[at + i]);
+      if ((next & 0xc0) != 0x80) return false;
+      if (i == 1 && !SecondByteAllowed(lead, next)) return false;
+    }
+    at += length;
+  }
+  return true;
+}
+
+// Reads members of one JSON object and notes the first that is wrong.
+class ObjectReader {
+ public:
+  ObjectReader(const Json& object, std::string where, std::string* detail)
+      : object_(object), where_(std::move(where)), detail_(detail) {
+    if (!object_.is_object()) Fail("", "must be an object");
+  }
+
+  bool ok() const { return ok_; }
+
+  void String(const char* key, std::string* out) {
+    const Json* value = Take(key);
+    if (value == nullptr) return;
+    if (!value->is_string()) return Fail(key, "must be a string");
+    *out = value->get<std::string>();
+  }
+
+  void Bool(const char* key, bool* out) {
+    const Json* value = Take(key);
+    if (value == nullptr) return;
+    if (!value->is_boolean()) return Fail(key, "must be true or false");
+    *out = value->get<bool>();
+  }
+
+  void Whole(const char* key, int64_t min, int64_t max, int64_t* out) {
+    const Json* value = Take(key);
+    if (value == nullptr) return;
+    const bool fits = value->is_number_integer() &&
+                      !(value->is_number_unsigned() &&
+                        value->get<uint64_t>() > static_cast<uint64_t>(max)) &&
+                      value->get<int64_t>() >= min &&
+                      value->get<int64_t>() <= max;
+    if (!fits) {
+      return Fail(key, "must be a whole number from " + std::to_string(min) +
+                           " to " + std::to_string(max));
+    }
+    *out = value->get<int64_t>();
+  }
+
+  const Json* Take(const char* key) {
+    if (!ok_) return nullptr;
+    const auto found = object_.find(key);
+    if (found == object_.end()) return nullptr;
+    ++taken_;
+    return &*found;
+  }
+
+  // Call last: refuses members that nobody took.
+  void RefuseOthers(std::initializer_list<const char*> known) {
+    if (!ok_ || taken_ == object_.size()) return;
+    for (const auto& [key, value] : object_.items()) {
+      const bool is_known = std::any_of(
+          known.begin(), known.end(), [&](const char* k) { return key == k; });
+      if (!is_known) return Fail(key, "is not known: remove it");
+    }
+  }
+
+  void Fail(const std::string& key, const std::string& what) {
+    ok_ = false;
+    const std::string dot = where_.empty() || key.empty() ? "" : ".";
+    *detail_ = where_ + dot + key + " " + what;
+  }
+
+ private:
+  const Json& object_;
+  std::string where_;
+  std::string* detail_;
+  size_t taken_ = 0;
+  bool ok_ = true;
+};
+
+bool HasControlByte(const std::string& text) {
+  return std::any_of(text.begin(), text.end(),
+                     [](unsigned char c) { return c < 0x20 || c == 0x7f; });
+}
+
+bool ReadFields(ObjectReader* reader, std::vector<HttpField>* out) {
+  const Json* fields = reader->Take("fields");
+  if (fields == nullptr) return reader->ok();
+  if (!fields->is_object()) {
+    reader->Fail("fields", "must be an object of strings");
+    return false;
+  }
+  for (const auto& [name, value] : fields->items()) {
+    const bool good = IsToken(name) && value.is_string() &&
+                      !HasControlByte(value.get_ref<const std::string&>());
+    if (!good) {
+      reader->Fail("fields",
+                   "needs header names and values without control "
+                   "characters");
+      return false;
+    }
+    out->emplace_back(name, value.get<std::string>());
+  }
+  return true;
+}
+
+bool ReadBody(ObjectReader* reader, std::string* out) {
+  std::string encoded;
+  reader->String("body", out);
+  reader->String("body_base64", &encoded);
+  if (encoded.empty()) return reader->ok();
+  if (out->empty() && FromBase64(encoded, out)) return true;
+  reader->Fail("body_base64", "must be base64 and stand without body");
+  return false;
+}
+
+bool ReadTask(const Json& json, const std::string& where, TaskSpec* out,
+              std::string* detail) {
+  ObjectReader reader(json, where, detail);
+  int64_t size = 1;
+  reader.String("method", &out->method_);
+  reader.String("path", &out->path_);
+  reader.String("kind", &out->kind_);
+  reader.Whole("run_ms", 0, kMaxMillis, &out->declared_run_.ms_);
+  reader.Whole("size", 1, kMaxDeclaredSize, &size);
+  out->declared_size_ = static_cast<uint32_t>(size);
+  if (!ReadFields(&reader, &out->fields_)) return false;
+  if (!ReadBody(&reader, &out->body_)) return false;
+  reader.RefuseOthers({"method", "path", "kind", "run_ms", "size", "fields",
+                       "body", "body_base64"});
+  if (reader.ok() && !IsToken(out->method_)) {
+    reader.Fail("method", "must be an HTTP method");
+  }
+  const bool path_good = !out->path_.empty() && out->path_[0] == '/' &&
+                         !HasControlByte(out->path_) &&
+                         out->path_.find(' ') == std::string::npos;
+  if (reader.ok() && !path_good) {
+    reader.Fail("path", "must start with '/' and hold no space");
+  }
+  return reader.ok();
+}
+
+bool ReadTasks(ObjectReader* reader, JobSpec* out, std::string* detail) {
+  const Json* tasks = reader->Take("tasks");
+  const bool good = tasks != nullptr && tasks->is_array() && !tasks->empty() &&
+                    tasks->size() <= config::kMaxTasksPerJob;
+  if (!good) {
+    if (reader->ok()) {
+      reader->Fail("tasks", "must be an array of 1 to " +
+                                std::to_string(config::kMaxTasksPerJob) +
+                                " tasks");
+    }
+    return false;
+  }
+  out->tasks_.resize(tasks->size());
+  for (size_t i = 0; i < tasks->size(); ++i) {
+    const std::string where = "tasks[" + std::to_string(i) + "]";
+    if (!ReadTask((*tasks)[i], where, &out->tasks_[i], detail)) return false;
+  }
+  return true;
+}
+
+Json FieldsToJson(const std::vector<HttpField>& fields) {
+  Json json = Json::object();
+  for (const auto& [name, value] : fields) {
+    if (IsUtf8(value)) json[name] = value;
+  }
+  return json;
+}
+
+void PutBody(const std::string& body, Json* json) {
+  if (body.empty()) return;
+  if (IsUtf8(body)) {
+    (*json)["body"] = body;
+  } else {
+    (*json)["body_base64"] = ToBase64(body);
+  }
+}
+
+Json TaskAnswerToJson(const TaskAnswer& answer) {
+  Json json = {{"status", answer.status_}};
+  json["fields"] = FieldsToJson(answer.fields_);
+  PutBody(answer.body_, &json);
+  return json;
+}
+
+Errc CodeByName(std::string_view name) {
+  for (int code = 1; code <= static_cast<int>(Errc::kUsage); ++code) {
+    if (Name(static_cast<Errc>(code)) == name) return static_cast<Errc>(code);
+  }
+  return Errc::kBadRequest;
+}
+
+bool ReadTaskAnswer(const Json& json, TaskAnswer* out) {
+  std::string detail;
+  ObjectReader reader(json, "", &detail);
+  int64_t status = 0;
+  reader.Whole("status", 100, 999, &status);
+  out->status_ = static_cast<uint16_t>(status);
+  return ReadFields(&reader, &out->fields_) && ReadBody(&reader, &out->body_);
+}
+
+bool ReadStarted(const Json& started, JobAnswer* out) {
+  out->started_known_ = started.is_array();
+  if (!out->started_known_) return started == "unknown";
+  for (const Json& index : started) {
+    if (!index.is_number_unsigned()) return false;
+    out->started_.push_back(index.get<uint16_t>());
+  }
+  return true;
+}
+
+bool ReadOutcome(const std::string& name, Outcome* out) {
+  for (const Outcome outcome :
+       {Outcome::kComplete, Outcome::kNotRun, Outcome::kMayHaveRun}) {
+    if (Name(outcome) != name) continue;
+    *out = outcome;
+    return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+std::error_code ParseJob(std::string_view text, JobSpec* out,
+                         std::string* detail) {
+  const Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (json.is_discarded()) {
+    *detail = "body must be one whole JSON object in UTF-8";
+    return Errc::kBadRequest;
+  }
+  ObjectReader reader(json, "", detail);
+  JobSpec job;
+  reader.String("team", &job.team_);
+  reader.Whole("deadline_ms", 1, kMaxMillis, &job.deadline_.ms_);
+  reader.Bool("idempotent", &job.idempotent_);
+  const bool good = reader.ok() && ReadTasks(&reader, &job, detail);
+  if (good) reader.RefuseOthers({"team", "deadline_ms", "idempotent", "tasks"});
+  if (!good || !reader.ok()) return Errc::kBadRequest;
+  *out = std::move(job);
+  return {};
+}
+
+std::string JobToJson(const JobSpec& job) {
+  Json json = {{"team", job.team_}, {"idempotent", job.idempotent_}};
+  if (job.deadline_.ms_ > 0) json["deadline_ms"] = job.deadline_.ms_;
+  Json& tasks = json["tasks"] = Json::array();
+  for (const TaskSpec& task : job.tasks_) {
+    Json one = {{"method", task.method_},
+                {"path", task.path_},
+                {"kind", task.kind_},
+                {"run_ms", task.declared_run_.ms_},
+                {"size", task.declared_size_}};
+    one["fields"] = FieldsToJson(task.fields_);
+    PutBody(task.body_, &one);
+    tasks.push_back(std::move(one));
+  }
+  return json.dump();
+}
+
+std::string AnswerToJson(const JobAnswer& answer, std::string_view detail) {
+  Json json = {{"outcome", Name(answer.outcome_)}};
+  if (answer.outcome_ == Outcome::kComplete) {
+    Json& tasks = json["tasks"] = Json::array();
+    for (const TaskAnswer& task : answer.tasks_) {
+      tasks.push_back(TaskAnswerToJson(task));
+    }
+    return json.dump();
+  }
+  json["error"] = Name(static_cast<Errc>(answer.error_.value()));
+  json["message"] =
+      detail.empty() ? answer.error_.message() : std::string(detail);
+  if (answer.retry_after_.ms_ > 0) {
+    json["retry_after_ms"] = answer.retry_after_.ms_;
+  }
+  if (answer.outcome_ == Outcome::kMayHaveRun) {
+    if (answer.started_known_) {
+      json["started"] = answer.started_;
+    } else {
+      json["started"] = "unknown";
+    }
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::error_code ParseAnswer(std::string_view text, JobAnswer* out) {
+  const Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (json.is_discarded()) return Errc::kBadRequest;
+  std::string detail;
+  ObjectReader reader(json, "", &detail);
+  std::string outcome;
+  std::string error;
+  JobAnswer answer;
+  reader.String("outcome", &outcome);
+  reader.String("error", &error);
+  reader.Whole("retry_after_ms", 0, kMaxMillis, &answer.retry_after_.ms_);
+  if (!reader.ok() || !ReadOutcome(outcome, &answer.outcome_)) {
+    return Errc::kBadRequest;
+  }
+  if (!error.empty()) answer.error_ = CodeByName(error);
+  const Json* tasks = reader.Take("tasks");
+  if (tasks != nullptr) {
+    for (const Json& task : *tasks) {
+      if (!ReadTaskAnswer(task, &answer.tasks_.emplace_back())) {
+        return Errc::kBadRequest;
+      }
+    }
+  }
+  const Json* started = reader.Take("started");
+  if (started != nullptr && !ReadStarted(*started, &answer)) {
+    return Errc::kBadRequest;
+  }
+  *out = std::move(answer);
+  return {};
+}
+
+std::string_view Name(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kComplete:
+      return "complete";
+    case Outcome::kNotRun:
+      return "not-run";
+    case Outcome::kMayHaveRun:
+      return "may-have-run";
+  }
+  return "may-have-run";
+}
+
+int HttpStatus(const JobAnswer& answer) {
+  if (answer.outcome_ == Outcome::kComplete) return 200;
+  const auto code = static_cast<Errc>(answer.error_.value());
+  if (answer.outcome_ == Outcome::kMayHaveRun) {
+    const bool timed_out =
+        code == Errc::kWorkerTimeout || code == Errc::kDeadlinePassed;
+    return timed_out ? 504 : 502;
+  }
+  switch (code) {
+    case Errc::kBadRequest:
+    case Errc::kBadClientId:
+    case Errc::kUnknownTeam:
+      return 400;
+    case Errc::kBodyTooLarge:
+      return 413;
+    case Errc::kNeverRunnable:
+    case Errc::kSubmissionMismatch:
+      return 422;
+    case Errc::kRateLimited:
+    case Errc::kQuotaExceeded:
+    case Errc::kWindowFull:
+      return 429;
+    default:
+      return 503;
+  }
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/request_guard.cc
@@ -0,0 +1,121 @@
+#include "request_guard.h"
+
+#include <algorithm>
+
+#include "caller_request.h"
+
+namespace gentiandeal {
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kMethods[] = {"GET",    "HEAD",    "POST", "PUT",
+                                         "DELETE", "OPTIONS", "PATCH"};
+constexpr size_t kMaxTargetBytes = 8 * 1024;
+
+HeadCheck Bad(int status, std::string detail) {
+  HeadCheck check;
+  check.state_ = HeadCheck::State::kBad;
+  check.status_ = status;
+  check.detail_ = std::move(detail);
+  if (status == 413) check.error_ = Errc::kBodyTooLarge;
+  return check;
+}
+
+bool HasControlByte(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](unsigned char c) {
+    return (c < 0x20 && c != '\t') || c == 0x7f;
+  });
+}
+
+// Takes the text up to `end`, and `end` itself, off the front.
+std::string_view TakeUntil(std::string_view* text, std::string_view end) {
+  const size_t at = text->find(end);
+  if (at == std::string_view::npos) return {};
+  const std::string_view taken = text->substr(0, at);
+  text->remove_prefix(at + end.size());
+  return taken;
+}
+
+std::string_view Trim(std::string_view text) {
+  const auto blank = [](char c) { return c == ' ' || c == '\t'; };
+  while (!text.empty() && blank(text.front())) text.remove_prefix(1);
+  while (!text.empty() && blank(text.back())) text.remove_suffix(1);
+  return text;
+}
+
+// Checks `METHOD TARGET HTTP/1.x`.
+HeadCheck CheckRequestLine(std::string_view line, bool* http11) {
+  HeadCheck good;
+  good.state_ = HeadCheck::State::kGood;
+  const std::string_view method = TakeUntil(&line, " ");
+  const std::string_view target = TakeUntil(&line, " ");
+  const bool known = std::find(std::begin(kMethods), std::end(kMethods),
+                               method) != std::end(kMethods);
+  if (method.empty() || target.empty()) {
+    return Bad(400, "request line must be METHOD TARGET HTTP/1.1");
+  }
+  if (!known) {
+    return Bad(501,
+               "method must be GET, HEAD, POST, PUT, DELETE, OPTIONS or PATCH");
+  }
+  if (target.size() > kMaxTargetBytes) {
+    return Bad(414, "target must be at most 8192 bytes");
+  }
+  if (target[0] != '/' || HasControlByte(target)) {
+    return Bad(400, "target must start with '/' and hold no control character");
+  }
+  *http11 = line == "HTTP/1.1";
+  if (!*http11 && line != "HTTP/1.0") {
+    return Bad(505, "version must be HTTP/1.1 or HTTP/1.0");
+  }
+  return good;
+}
+
+// Reads `name: value`. @returns false when the line is no header field.
+bool ReadField(std::string_view line, HttpField* out) {
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return false;
+  const std::string_view name = line.substr(0, colon);
+  if (!IsToken(name) || HasControlByte(line)) return false;
+  out->first = name;
+  out->second = Trim(line.substr(colon + 1));
+  return true;
+}
+
+HeadCheck CheckWholeHead(std::string_view head) {
+  bool http11 = false;
+  HeadCheck check = CheckRequestLine(TakeUntil(&head, kLineEnd), &http11);
+  if (check.state_ != HeadCheck::State::kGood) return check;
+  std::vector<HttpField> fields;
+  while (!head.empty()) {
+    const std::string_view line = TakeUntil(&head, kLineEnd);
+    if (!ReadField(line, &fields.emplace_back())) {
+      return Bad(400, "header lines must be 'Name: value', one a line");
+    }
+  }
+  Framing framing;
+  if (const auto error = ReadFraming(fields, http11, &framing)) {
+    return Bad(error == Errc::kBodyTooLarge ? 413 : 400, framing.detail_);
+  }
+  check.body_bytes_ = framing.body_bytes_;
+  check.chunked_ = framing.chunked_;
+  return check;
+}
+
+}  // namespace
+
+HeadCheck CheckHead(std::string_view bytes) {
+  const size_t end = bytes.find(kHeadEnd);
+  const size_t head_bytes =
+      end == std::string_view::npos ? bytes.size() : end + kHeadEnd.size();
+  if (head_bytes > config::kMaxHeadBytes) {
+    return Bad(431, "request head must be at most 16384 bytes");
+  }
+  if (end == std::string_view::npos) return {};
+  HeadCheck check = CheckWholeHead(bytes.substr(0, end + kLineEnd.size()));
+  check.head_bytes_ = head_bytes;
+  return check;
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/tests/unit/loopback.h
@@ -0,0 +1,132 @@
+#ifndef GENTIANDEAL_TESTS_UNIT_LOOPBACK_H_
+#define GENTIANDEAL_TESTS_UNIT_LOOPBACK_H_
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+
+#include "socket_util.h"
+
+/// Plain sockets for tests, beside an event loop on the same thread.
+namespace gentiandeal {
+
+/// Runs the loop until `done` says so. @returns false after five seconds.
+inline bool RunUntil(event_base* base, const std::function<bool()>& done) {
+  const MonotonicClock clock;
+  const Time limit = clock.Now() + Duration{5000};
+  while (!done()) {
+    if (clock.Now() > limit) return false;
+    event_base_loop(base, EVLOOP_NONBLOCK);
+  }
+  return true;
+}
+
+inline sockaddr_in ToSockaddr(const Address& address) {
+  sockaddr_in storage{};
+  storage.sin_family = AF_INET;
+  storage.sin_port = htons(address.port_);
+  inet_pton(AF_INET, address.host_.c_str(), &storage.sin_addr);
+  return storage;
+}
+
+/// A connected or accepted socket that never blocks on reading.
+class TestSocket {
+ public:
+  explicit TestSocket(int fd) : fd_(fd) {}
+  explicit TestSocket(const Address& address)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in to = ToSockaddr(address);
+    connected_ =
+        connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) == 0;
+  }
+  ~TestSocket() { Close(); }
+  TestSocket(const TestSocket&) = delete;
+  TestSocket& operator=(const TestSocket&) = delete;
+
+  bool connected() const { return connected_; }
+  const std::string& received() const { return received_; }
+  bool ended() const { return ended_; }
+  /// Whether the end was a reset.
+  bool reset() const { return reset_; }
+
+  void Send(const std::string& text) {
+    // A peer that refuses early may have closed: the test looks at what it
+    // sent back.
+    [[maybe_unused]] const ssize_t sent =
+        send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+  }
+
+  /// Takes what has arrived.
+  void Poll() {
+    char buffer[65536];
+    while (!ended_) {
+      const ssize_t count = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
+      if (count > 0) {
+        received_.append(buffer, static_cast<size_t>(count));
+        continue;
+      }
+      if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+      ended_ = true;
+      reset_ = count < 0;
+    }
+  }
+
+  void Clear() { received_.clear(); }
+
+  /// Closes; with `hard`, by a reset.
+  void Close(bool hard = false) {
+    if (fd_ < 0) return;
+    const linger abort{1, 0};
+    if (hard) setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    close(fd_);
+    fd_ = -1;
+    ended_ = true;
+  }
+
+ private:
+  int fd_;
+  bool connected_ = true;
+  bool ended_ = false;
+  bool reset_ = false;
+  std::string received_;
+};
+
+/// A listening socket on a port the kernel chose.
+class TestListener {
+ public:
+  TestListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    const sockaddr_in any = ToSockaddr({"127.0.0.1", 0});
+    bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof(any));
+    listen(fd_, 16);
+    address_ = BoundAddress(fd_);
+  }
+  ~TestListener() { Close(); }
+  TestListener(const TestListener&) = delete;
+  TestListener& operator=(const TestListener&) = delete;
+
+  const Address& address() const { return address_; }
+
+  /// @returns an accepted socket, or null when none waits.
+  std::unique_ptr<TestSocket> Accept() {
+    const int fd = accept(fd_, nullptr, nullptr);
+    return fd < 0 ? nullptr : std::make_unique<TestSocket>(fd);
+  }
+
+  void Close() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+  }
+
+ private:
+  int fd_;
+  Address address_;
+};
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_TESTS_UNIT_LOOPBACK_H_
