--- a/src/task_queue.h
+++ b/src/task_queue.h
@@ -13,7 +13,8 @@
 
 /// Tasks waiting at this instance, and the choice of the next one: weighted
 /// fair between teams, within a team shortest expected job first with ageing,
-/// within a job longest expected task first.
+/// within a job longest expected task first. A job holds its place, also when
+/// none of its tasks waits, until `Remove`.
 class TaskQueue {
  public:
   TaskQueue();
@@ -23,18 +24,20 @@
   void SetTeam(TeamHandle team, double weight);
 
   /// Adds a job with one expected run time for each task.
-  /// @returns false when `kMaxJobs` are queued.
+  /// @returns false when `kMaxJobs` are known, or the job or team is not
+  /// acceptable (job known already, team above `kMaxTeams`).
   bool Add(JobId job, TeamHandle team, Time arrival, Time deadline,
            const std::vector<Duration>& expected);
 
-  /// Takes the next task, or nothing when none waits. A team for which
-  /// `blocked` was set is passed over.
+  /// Takes the next task, or nothing when none waits. A team that is blocked
+  /// is passed over.
   std::optional<QueuedTask> Next(Time now);
 
   /// Puts back a task that provably did not start; it goes first in its job.
   void Return(const QueuedTask& task, Duration expected);
 
-  /// Drops a job's waiting tasks in constant time for each task.
+  /// Forgets a job and drops its waiting tasks, in constant time for each.
+  /// Call it for every job once it has ended; unknown jobs are ignored.
   void Remove(JobId job);
 
   /// Holds back or releases a team that is at its quota.
