Add a first dispatcher: admission, tasks, outcomes and identity

Cause: nothing answered a submission yet. This takes one in, queues its tasks, starts them on workers, collects whole answers, and answers one of three outcomes. Client ids carry a keyed hash; submissions are remembered in a window; health and retry budgets decide where a refused task goes. Ruled out: a write to the store for each job (its rate is hundreds a second) and moving ownership by lease (two holders after a pause).

--- a/include/gentiandeal/gentiandeal.h
+++ b/include/gentiandeal/gentiandeal.h
@@ -49,6 +49,7 @@
 struct Address {
   std::string host_;
   uint16_t port_ = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`.
   friend auto operator<=>(const Address&, const Address&) = default;
 };
 
@@ -151,7 +152,9 @@
   uint64_t forwards_to_owner_ = 0;
   uint64_t forwards_to_data_centre_ = 0;
   uint64_t workers_set_aside_ = 0;
-  uint64_t cut_at_exit_ = 0;  ///< Requests cut by the drain limit.
+  uint64_t answers_expired_ = 0;  ///< Dropped before they were acknowledged.
+  uint64_t pauses_ = 0;           ///< Gaps after which held work was reviewed.
+  uint64_t cut_at_exit_ = 0;      ///< Requests cut by the drain limit.
   uint64_t queued_tasks_now_ = 0;
   uint64_t running_tasks_now_ = 0;
   uint64_t buffered_bytes_now_ = 0;
--- /dev/null
+++ b/src/client_ids.cc
@@ -0,0 +1,49 @@
+#include "client_ids.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <algorithm>
+
+namespace gentiandeal {
+namespace {
+
+void AppendBigEndian(uint64_t value, std::array<uint8_t, 24>* out, size_t at) {
+  for (size_t i = 0; i < sizeof(value); ++i) {
+    (*out)[at + i] = static_cast<uint8_t>(value >> (56 - 8 * i));
+  }
+}
+
+}  // namespace
+
+ClientId ClientIds::Issue(Time now) {
+  ClientId id;
+  id.owner_ = owner_;
+  id.serial_ = ++last_serial_;
+  id.expires_ms_ = (now + config::kClientIdLifetime).ms_;
+  id.mac_ = Mac(id);
+  return id;
+}
+
+bool ClientIds::Authentic(const ClientId& id) const {
+  if (id.owner_ != owner_) return false;
+  const std::array<uint8_t, 16> expected = Mac(id);
+  return CRYPTO_memcmp(expected.data(), id.mac_.data(), expected.size()) == 0;
+}
+
+std::array<uint8_t, 16> ClientIds::Mac(const ClientId& id) const {
+  std::array<uint8_t, 24> text{};
+  AppendBigEndian(id.owner_.value_, &text, 0);
+  AppendBigEndian(id.serial_, &text, 8);
+  AppendBigEndian(static_cast<uint64_t>(id.expires_ms_), &text, 16);
+  std::array<uint8_t, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), secret_.data(), static_cast<int>(secret_.size()),
+       text.data(), text.size(), digest.data(), &size);
+  std::array<uint8_t, 16> mac{};
+  std::copy_n(digest.begin(), mac.size(), mac.begin());
+  return mac;
+}
+
+}  // namespace gentiandeal
--- a/src/config.h
+++ b/src/config.h
@@ -38,6 +38,33 @@
 inline constexpr Duration kPauseGap{1000};
 inline constexpr Duration kTickInterval{5};
 
+/// Clients with remembered submissions; older ids are forgotten first.
+inline constexpr uint32_t kMaxActiveClients = 16384;
+/// Submissions handed to peers and not yet answered.
+inline constexpr uint32_t kMaxForwards = 8192;
+/// Requests to workers that are under way.
+inline constexpr uint32_t kMaxAttempts = 65536;
+/// Largest answer of a whole job, in bytes; fits a frame on a peer link.
+inline constexpr size_t kMaxJobAnswerBytes = 12 * 1024 * 1024;
+/// Part of a byte bound that new work may fill; the rest is for answers of
+/// jobs already accepted.
+inline constexpr uint32_t kAdmissionPercent = 75;
+/// How much longer than a job's deadline its forward may take, so that the
+/// peer's own exact answer arrives first.
+inline constexpr Duration kForwardGrace{50};
+
+/// Back-off after a worker refused a task or a connection; doubles.
+inline constexpr Duration kRefusalBackoff{10};
+inline constexpr Duration kMaxRefusalBackoff{5000};
+/// How long a worker's own leaving mark outweighs a list that shows it active.
+inline constexpr Duration kLeavingMemory{60 * 1000};
+/// Longest stay of a failing worker that was set aside.
+inline constexpr Duration kMaxSetAside{60 * 1000};
+
+/// Bounds of the `retry_after_` that accompanies refusals.
+inline constexpr Duration kMinRetryAfter{100};
+inline constexpr Duration kMaxRetryAfter{10 * 1000};
+
 /// Control traffic sent by one instance, bytes a second.
 inline constexpr uint32_t kControlBytesPerSecond = 9 * 1024;
 
--- /dev/null
+++ b/src/dispatcher.cc
@@ -0,0 +1,251 @@
+#include "dispatcher.h"
+
+#include <algorithm>
+
+#include "dispatcher_impl.h"
+
+namespace gentiandeal {
+
+Dispatcher::Impl::Impl(const InstanceId& self, const ClientSecret& secret,
+                       uint64_t seed)
+    : self_(self),
+      client_ids_(self.incarnation_, secret),
+      workers_(seed),
+      health_(&workers_),
+      submissions_(&account_),
+      jobs_(config::kMaxJobs),
+      attempts_(config::kMaxAttempts),
+      forwards_(config::kMaxForwards) {
+  teams_.reserve(config::kMaxTeams);
+  auto initial = std::make_shared<Settings>();
+  initial->teams_.emplace_back();
+  Apply(std::move(initial));
+}
+
+Dispatcher::Impl::~Impl() {
+  job_timers_.clear();
+  forward_timers_.clear();
+  for (const JobId id : jobs_.Ids()) jobs_.Find(id)->waiters_.clear();
+}
+
+void Dispatcher::Impl::Enter(Time now, Outbox* out) {
+  const bool paused = last_seen_ && now - *last_seen_ > config::kPauseGap;
+  last_seen_ = now;
+  if (paused) Resume(now, out);
+}
+
+void Dispatcher::Impl::Apply(std::shared_ptr<const Settings> settings) {
+  settings_ = std::move(settings);
+  for (Team& team : teams_) team.in_settings_ = {};
+  team_by_name_.clear();
+  for (size_t i = 0; i < settings_->teams_.size(); ++i) {
+    const TeamHandle handle = AddTeam(settings_->teams_[i]);
+    if (!handle.valid()) break;
+    teams_[handle.value_].in_settings_ = {static_cast<uint16_t>(i)};
+    team_by_name_[settings_->teams_[i].name_] = handle;
+    if (i == 0) root_ = handle;
+  }
+  health_.SetSettings(settings_->service_);
+}
+
+TeamHandle Dispatcher::Impl::AddTeam(const TeamSettings& settings) {
+  const auto known = [&](const Team& t) { return t.name_ == settings.name_; };
+  auto found = std::find_if(teams_.begin(), teams_.end(), known);
+  if (found == teams_.end() && teams_.size() < config::kMaxTeams) {
+    found = teams_.emplace(teams_.end());
+  }
+  if (found == teams_.end()) {
+    const auto unused = [&](const Team& team) {
+      const auto index = static_cast<uint16_t>(&team - teams_.data());
+      return !team.in_settings_.valid() && team.jobs_ == 0 &&
+             account_.of({index}) == 0;
+    };
+    found = std::find_if(teams_.begin(), teams_.end(), unused);
+    if (found == teams_.end()) return {};
+    *found = Team{};
+  }
+  found->name_ = settings.name_;
+  found->settings_ = settings;
+  const auto index = static_cast<uint16_t>(found - teams_.begin());
+  queue_.SetTeam({index}, settings.weight_);
+  return {index};
+}
+
+void Dispatcher::Impl::TakeWorkers(const WorkersListed& message, Time now) {
+  workers_.SetWorkers(message.workers_);
+  health_.OnListed(message.workers_, now);
+  workers_may_return_ = AnyWorkerMayReturn();
+}
+
+void Dispatcher::Impl::TakePeerLoad(const PeerLoad& message) {
+  for (const PeerLoad::Entry& entry : message.entries_) {
+    workers_.SetPeerLoad(message.peer_, entry.worker_, entry.in_use_);
+  }
+}
+
+void Dispatcher::Impl::Tick(Time now, Outbox* out) {
+  workers_.Tick(now);
+  health_.Tick(now);
+  workers_may_return_ = AnyWorkerMayReturn();
+  submissions_.Tick(now);
+  while (!job_timers_.empty() && job_timers_.begin()->wake_ <= now) {
+    WakeJob(&*job_timers_.begin(), now, out);
+  }
+  ExpireForwards(now, out);
+}
+
+void Dispatcher::Impl::WakeJob(Job* job, Time now, Outbox* out) {
+  if (now >= job->deadline_) {
+    FailJob(job, Errc::kDeadlinePassed, now, out);
+    return;
+  }
+  Errc error = Errc::kDeadlineTooShort;
+  if (teams_[job->team_.value_].blocked_) error = Errc::kQuotaExceeded;
+  if (workers_.placeable() == 0) error = Errc::kWorkersRefused;
+  if (workers_.size() == 0) error = Errc::kNoWorkers;
+  FailJob(job, error, now, out);
+}
+
+void Dispatcher::Impl::Resume(Time now, Outbox* out) {
+  ++stats_.pauses_;
+  for (const JobId id : jobs_.Ids()) {
+    Job* job = jobs_.Find(id);
+    if (now >= job->deadline_) {
+      FailJob(job, Errc::kDeadlinePassed, now, out);
+    } else if (job->started_ == 0 && !job->forward_.valid()) {
+      FailJob(job, Errc::kResumedAfterPause, now, out);
+    }
+  }
+}
+
+bool Dispatcher::Impl::AnyWorkerMayReturn() const {
+  if (workers_.placeable() > 0) return true;
+  bool any = false;
+  workers_.ForEach([&](WorkerHandle worker) {
+    any = any || workers_.state(worker) != WorkerState::kLeaving;
+  });
+  return any;
+}
+
+void Dispatcher::Impl::CutAll(Time now, Outbox* out) {
+  cut_ = true;
+  stats_.cut_at_exit_ += requests_.size();
+  for (const JobId id : jobs_.Ids()) {
+    FailJob(jobs_.Find(id), Errc::kDraining, now, out);
+  }
+  for (const ForwardId id : forwards_.Ids()) {
+    Forward* forward = forwards_.Find(id);
+    const RequestId request = forward->request_;
+    out->emplace_back(AbandonForward{id});
+    DropForward(forward);
+    AnswerUnknown(request, Errc::kDraining, out);
+  }
+}
+
+DispatcherLoad Dispatcher::Impl::load() const {
+  DispatcherLoad load;
+  load.queued_tasks_ = queue_.size();
+  load.running_tasks_ = attempts_.size();
+  load.free_slots_ = workers_.free_slots();
+  load.buffered_bytes_ = account_.total();
+  load.idle_ = jobs_.size() == 0 && forwards_.size() == 0;
+  return load;
+}
+
+Stats Dispatcher::Impl::stats() const {
+  Stats stats = stats_;
+  stats.workers_set_aside_ = health_.times_set_aside();
+  stats.answers_expired_ = submissions_.answers_dropped();
+  stats.queued_tasks_now_ = queue_.size();
+  stats.running_tasks_now_ = attempts_.size();
+  stats.buffered_bytes_now_ = account_.total();
+  return stats;
+}
+
+Dispatcher::Dispatcher(const InstanceId& self, std::array<uint8_t, 32> secret,
+                       uint64_t seed)
+    : impl_(std::make_unique<Impl>(self, secret, seed)) {}
+
+Dispatcher::~Dispatcher() = default;
+
+ClientId Dispatcher::IssueClient(Time now) {
+  return impl_->client_ids().Issue(now);
+}
+
+void Dispatcher::On(const Submit& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->TakeSubmission(message, now, out);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const CallerGone& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->LoseCaller(message.request_, now, out);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const CancelSubmission& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->TakeCancellation(message, now, out);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const AttemptEnded& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->EndAttempt(message, now, out);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const ForwardEnded& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->EndForward(message, now, out);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const WorkersListed& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->TakeWorkers(message, now);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const PeerLoad& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->TakePeerLoad(message);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const PeersChanged& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->TakePeers(message);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const SettingsChanged& message, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->Apply(message.settings_);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::On(const DrainRequested&, Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->Drain();
+}
+
+void Dispatcher::Tick(Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->Tick(now, out);
+  impl_->Pump(now, out);
+}
+
+void Dispatcher::CutAll(Time now, Outbox* out) {
+  impl_->Enter(now, out);
+  impl_->CutAll(now, out);
+}
+
+const WorkerTable& Dispatcher::workers() const { return impl_->workers(); }
+
+Stats Dispatcher::stats() const { return impl_->stats(); }
+
+DispatcherLoad Dispatcher::load() const { return impl_->load(); }
+
+}  // namespace gentiandeal
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -49,7 +49,7 @@
   void CutAll(Time now, Outbox* out);
 
   const WorkerTable& workers() const;
-  const Stats& stats() const;
+  Stats stats() const;
   DispatcherLoad load() const;
 
  private:
--- /dev/null
+++ b/src/dispatcher_forward.cc
@@ -0,0 +1,230 @@
+#include <algorithm>
+
+#include "dispatcher_impl.h"
+
+namespace gentiandeal {
+namespace {
+
+/// Peers abroad that are tried for one job while none has been reached.
+constexpr int kMaxForwardTries = 2;
+
+}  // namespace
+
+void Dispatcher::Impl::TakePeers(const PeersChanged& message) {
+  for (const PeerView& old : peers_) {
+    const auto same = [&](const PeerView& peer) {
+      return peer.id_.incarnation_ == old.id_.incarnation_;
+    };
+    if (std::none_of(message.peers_.begin(), message.peers_.end(), same)) {
+      workers_.ForgetPeer(old.id_.incarnation_);
+    }
+  }
+  peers_ = message.peers_;
+  uint32_t rank = 0;
+  uint32_t sharers = 1;
+  for (const PeerView& peer : peers_) {
+    if (peer.id_.data_centre_ != self_.data_centre_) continue;
+    ++sharers;
+    if (peer.id_.peer_address_ < self_.peer_address_) ++rank;
+  }
+  workers_.SetSharers(rank, sharers);
+}
+
+void Dispatcher::Impl::PassToOwner(const Submit& message, Time now,
+                                   Outbox* out) {
+  const Incarnation owner = message.submission_->client_.owner_;
+  const PeerView* peer = FindPeer(owner);
+  const TeamHandle known_team = FindTeam(message.job_.team_);
+  const TeamHandle team = known_team.valid() ? known_team : root_;
+  const uint64_t bytes = BufferedBytes(message.job_);
+  // Identity says nothing about this attempt alone: an earlier one may have
+  // run at the owner, so no refusal here is "not run".
+  const bool possible = peer != nullptr && !message.from_peer_ && !cut_ &&
+                        !forwards_.full() &&
+                        MakeRoom(team, bytes, config::kAdmissionPercent);
+  if (!possible) {
+    AnswerUnknown(message.request_, Errc::kOwnerUnreachable, out);
+    return;
+  }
+  const Duration deadline = DeadlineOf(message.job_, team);
+  Forward* forward = AddForward(now + deadline + config::kForwardGrace);
+  forward->peer_ = owner;
+  forward->request_ = message.request_;
+  forward->team_ = team;
+  forward->bytes_ = bytes;
+  account_.Add(team, bytes);
+  Request& request = requests_[message.request_.value_];
+  request.id_ = message.request_;
+  request.forward_ = forward->id_;
+  ++stats_.forwards_to_owner_;
+
+  ForwardSubmission command;
+  command.forward_ = forward->id_;
+  command.peer_ = peer->id_;
+  command.submission_ = message.submission_;
+  command.job_ = std::make_shared<const JobSpec>(message.job_);
+  command.timeout_ = deadline + config::kForwardGrace;
+  out->push_back(std::move(command));
+}
+
+void Dispatcher::Impl::PassCancelToOwner(const CancelSubmission& message,
+                                         Time now, Outbox* out) {
+  const PeerView* peer = FindPeer(message.submission_.client_.owner_);
+  const bool possible =
+      peer != nullptr && !message.from_peer_ && !cut_ && !forwards_.full();
+  if (!possible) {
+    AnswerUnknown(message.request_, Errc::kOwnerUnreachable, out);
+    return;
+  }
+  const Duration timeout = teams_[root_.value_].settings_.default_deadline_;
+  Forward* forward = AddForward(now + timeout);
+  forward->peer_ = peer->id_.incarnation_;
+  forward->request_ = message.request_;
+  forward->team_ = root_;
+  Request& request = requests_[message.request_.value_];
+  request.id_ = message.request_;
+  request.forward_ = forward->id_;
+  ++stats_.forwards_to_owner_;
+
+  ForwardSubmission command;
+  command.forward_ = forward->id_;
+  command.peer_ = peer->id_;
+  command.submission_ = message.submission_;
+  command.cancel_ = true;
+  command.timeout_ = timeout;
+  out->push_back(std::move(command));
+}
+
+bool Dispatcher::Impl::ForwardAbroad(Job* job, Time now, Outbox* out) {
+  if (!settings_->service_.forward_to_data_centres_) return false;
+  if (forward_credit_ < 1 || forwards_.full()) return false;
+  const auto tasks = static_cast<uint32_t>(job->tasks_.size());
+  PeerView* peer = FindPeerAbroad(tasks);
+  if (peer == nullptr) return false;
+  forward_credit_ -= 1;
+  peer->free_slots_ -= tasks;
+  ++job->forwards_tried_;
+  Forward* forward = AddForward(job->deadline_ + config::kForwardGrace);
+  forward->peer_ = peer->id_.incarnation_;
+  forward->job_ = job->id_;
+  forward->team_ = job->team_;
+  job->forward_ = forward->id_;
+  ++stats_.forwards_to_data_centre_;
+
+  ForwardSubmission command;
+  command.forward_ = forward->id_;
+  command.peer_ = peer->id_;
+  command.foreign_execution_ = true;
+  command.job_ = job->spec_;
+  command.timeout_ = job->deadline_ - now;
+  out->push_back(std::move(command));
+  return true;
+}
+
+void Dispatcher::Impl::EndForward(const ForwardEnded& message, Time now,
+                                  Outbox* out) {
+  Forward* found = forwards_.Find(message.forward_);
+  if (found == nullptr) return;
+  const RequestId request = found->request_;
+  const Incarnation peer = found->peer_;
+  Job* job = jobs_.Find(found->job_);
+  DropForward(found);
+  if (!message.handed_over_) {
+    for (PeerView& view : peers_) {
+      if (view.id_.incarnation_ == peer) view.free_slots_ = 0;
+    }
+  }
+  if (job == nullptr) {
+    if (message.handed_over_) {
+      auto answer = std::make_shared<const JobAnswer>(message.answer_);
+      Answer(request, std::move(answer), out);
+    } else {
+      AnswerUnknown(request, Errc::kOwnerUnreachable, out);
+    }
+    return;
+  }
+  job->forward_ = {};
+  if (!message.handed_over_) {
+    ReturnFromAbroad(job, now, out);
+    return;
+  }
+  auto answer = std::make_shared<JobAnswer>(message.answer_);
+  const bool whole = answer->tasks_.size() == job->tasks_.size();
+  if (answer->outcome_ == Outcome::kComplete && !whole) {
+    *answer = JobAnswer{};
+    answer->outcome_ = Outcome::kMayHaveRun;
+    answer->error_ = Errc::kPeerLinkLost;
+    answer->started_known_ = false;
+  }
+  EndJob(job, std::move(answer), out);
+}
+
+void Dispatcher::Impl::ReturnFromAbroad(Job* job, Time now, Outbox* out) {
+  const bool again = job->forwards_tried_ < kMaxForwardTries;
+  if (again && ForwardAbroad(job, now, out)) return;
+  const std::optional<Refusal> refusal = CheckDeadline(*job, now);
+  if (refusal) {
+    FailJob(job, refusal->error_, now, out);
+    return;
+  }
+  Enqueue(job, now);
+}
+
+void Dispatcher::Impl::ExpireForwards(Time now, Outbox* out) {
+  while (!forward_timers_.empty() && forward_timers_.begin()->wake_ <= now) {
+    Forward* forward = &*forward_timers_.begin();
+    const RequestId request = forward->request_;
+    if (Job* job = jobs_.Find(forward->job_)) {
+      FailJob(job, Errc::kDeadlinePassed, now, out);
+      continue;
+    }
+    out->emplace_back(AbandonForward{forward->id_});
+    DropForward(forward);
+    AnswerUnknown(request, Errc::kDeadlinePassed, out);
+  }
+}
+
+Forward* Dispatcher::Impl::AddForward(Time wake) {
+  const ForwardId id = forwards_.Add();
+  Forward* forward = forwards_.Find(id);
+  forward->id_ = id;
+  forward->wake_ = wake;
+  forward_timers_.insert(*forward);
+  return forward;
+}
+
+void Dispatcher::Impl::DropForward(Forward* forward) {
+  if (forward->bytes_ > 0) account_.Release(forward->team_, forward->bytes_);
+  forward_timers_.erase(forward_timers_.iterator_to(*forward));
+  forwards_.Remove(forward->id_);
+}
+
+const PeerView* Dispatcher::Impl::FindPeer(Incarnation incarnation) const {
+  for (const PeerView& peer : peers_) {
+    if (peer.id_.incarnation_ == incarnation) return &peer;
+  }
+  return nullptr;
+}
+
+PeerView* Dispatcher::Impl::FindPeerAbroad(uint32_t tasks) {
+  PeerView* best = nullptr;
+  for (PeerView& peer : peers_) {
+    const bool abroad = peer.id_.data_centre_ != self_.data_centre_;
+    if (!abroad || peer.draining_ || peer.free_slots_ < tasks) continue;
+    if (best == nullptr || peer.free_slots_ > best->free_slots_) best = &peer;
+  }
+  return best;
+}
+
+void Dispatcher::Impl::AnswerUnknown(RequestId request, Errc error,
+                                     Outbox* out) {
+  auto answer = std::make_shared<JobAnswer>();
+  answer->outcome_ = Outcome::kMayHaveRun;
+  answer->error_ = error;
+  answer->started_known_ = false;
+  ++stats_.jobs_may_have_run_;
+  requests_.erase(request.value_);
+  out->emplace_back(SendAnswer{request, std::move(answer)});
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/slot_pool.h
@@ -0,0 +1,88 @@
+#ifndef GENTIANDEAL_SRC_SLOT_POOL_H_
+#define GENTIANDEAL_SRC_SLOT_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace gentiandeal {
+
+/// Objects with stable addresses, found by an id in constant time. Slots are
+/// reused, ids never are: an id of a removed object finds nothing.
+template <typename T, typename IdType>
+class SlotPool {
+ public:
+  /// @param capacity Most objects held at once, at most `kMaxCapacity`.
+  explicit SlotPool(uint32_t capacity) : capacity_(capacity) {}
+
+  static constexpr uint32_t kMaxCapacity = 1u << 20;
+
+  bool full() const { return size_ == capacity_; }
+  uint32_t size() const { return size_; }
+
+  /// Adds an object; the pool must not be full.
+  template <typename... Args>
+  IdType Add(Args&&... args) {
+    const uint32_t index = TakeSlot();
+    Slot& slot = slots_[index];
+    slot.id_ = IdType{(++last_generation_ << kIndexBits) | index};
+    slot.value_.emplace(std::forward<Args>(args)...);
+    ++size_;
+    return slot.id_;
+  }
+
+  /// @returns nothing for an id that was removed or never given out.
+  T* Find(IdType id) {
+    const uint64_t index = id.value_ & (kMaxCapacity - 1);
+    if (!id.valid() || index >= slots_.size()) return nullptr;
+    Slot& slot = slots_[index];
+    return slot.id_ == id ? &*slot.value_ : nullptr;
+  }
+
+  void Remove(IdType id) {
+    const auto index = static_cast<uint32_t>(id.value_ & (kMaxCapacity - 1));
+    slots_[index].value_.reset();
+    slots_[index].id_ = IdType{};
+    free_.push_back(index);
+    --size_;
+  }
+
+  /// Ids of all objects, oldest slots first.
+  std::vector<IdType> Ids() const {
+    std::vector<IdType> ids;
+    for (const Slot& slot : slots_) {
+      if (slot.id_.valid()) ids.push_back(slot.id_);
+    }
+    return ids;
+  }
+
+ private:
+  static constexpr int kIndexBits = 20;
+
+  struct Slot {
+    IdType id_;
+    std::optional<T> value_;
+  };
+
+  uint32_t TakeSlot() {
+    if (free_.empty()) {
+      slots_.emplace_back();
+      return static_cast<uint32_t>(slots_.size() - 1);
+    }
+    const uint32_t index = free_.back();
+    free_.pop_back();
+    return index;
+  }
+
+  uint32_t capacity_;
+  uint32_t size_ = 0;
+  uint64_t last_generation_ = 0;
+  std::deque<Slot> slots_;
+  std::vector<uint32_t> free_;
+};
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_SLOT_POOL_H_
--- /dev/null
+++ b/tests/unit/dispatcher_fixture.h
@@ -0,0 +1,128 @@
+#ifndef GENTIANDEAL_TESTS_UNIT_DISPATCHER_FIXTURE_H_
+#define GENTIANDEAL_TESTS_UNIT_DISPATCHER_FIXTURE_H_
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dispatcher.h"
+
+namespace gentiandeal {
+
+/// One dispatcher with a clock set by the test; sorts what it sends.
+struct DispatcherFixture {
+  static constexpr int64_t kStep = 5;
+
+  InstanceId self_{"dc1", {"127.0.0.1", 7001}, {11}};
+  Dispatcher dispatcher_{self_, {1, 2, 3}, 1};
+  Time now_{1000};
+  uint64_t last_request_ = 0;
+  std::vector<StartTask> starts_;
+  std::vector<AbandonAttempt> abandoned_;
+  std::vector<ForwardSubmission> forwards_;
+  std::vector<AbandonForward> forwards_abandoned_;
+  std::map<RequestId, JobAnswer> answers_;
+  uint32_t answers_sent_ = 0;
+
+  template <typename Message>
+  void Send(const Message& message) {
+    Outbox out;
+    dispatcher_.On(message, now_, &out);
+    Sort(&out);
+  }
+  void Advance(int64_t ms) {
+    const Time end = now_ + Duration{ms};
+    while (now_ < end) {
+      now_ = std::min(now_ + Duration{kStep}, end);
+      Outbox out;
+      dispatcher_.Tick(now_, &out);
+      Sort(&out);
+    }
+  }
+  void Pause(int64_t ms) {
+    now_ = now_ + Duration{ms};
+    Outbox out;
+    dispatcher_.Tick(now_, &out);
+    Sort(&out);
+  }
+  void CutAll() {
+    Outbox out;
+    dispatcher_.CutAll(now_, &out);
+    Sort(&out);
+  }
+
+  void ListWorkers(uint16_t count, uint16_t slots = 8, uint16_t leaving = 0) {
+    WorkersListed list;
+    for (uint16_t i = 0; i < count; ++i) {
+      WorkerInfo info;
+      info.address_ = {"127.0.0.1", static_cast<uint16_t>(9000 + i)};
+      info.slots_ = slots;
+      info.leaving_ = i < leaving;
+      list.workers_.push_back(info);
+    }
+    Send(list);
+  }
+  void SetSettings(Settings settings) {
+    if (settings.teams_.empty()) settings.teams_.emplace_back();
+    Send(SettingsChanged{std::make_shared<const Settings>(settings)});
+  }
+
+  static JobSpec Job(size_t tasks, int64_t run_ms = 100,
+                     int64_t deadline_ms = 5000) {
+    JobSpec job;
+    job.deadline_ = {deadline_ms};
+    job.tasks_.resize(tasks);
+    for (size_t i = 0; i < tasks; ++i) {
+      job.tasks_[i].path_ = "/" + std::to_string(i);
+      job.tasks_[i].declared_run_ = {run_ms};
+    }
+    return job;
+  }
+  RequestId Submit(JobSpec job, std::optional<SubmissionId> id = {},
+                   bool from_peer = false, bool foreign = false) {
+    const RequestId request{++last_request_};
+    Send(gentiandeal::Submit{request, id, from_peer, foreign, std::move(job)});
+    return request;
+  }
+  RequestId Cancel(const SubmissionId& id, bool from_peer = false) {
+    const RequestId request{++last_request_};
+    Send(CancelSubmission{request, id, from_peer});
+    return request;
+  }
+  void End(const StartTask& start, Verdict verdict,
+           const std::string& body = "") {
+    AttemptEnded end;
+    end.attempt_ = start.attempt_;
+    end.verdict_ = verdict;
+    end.answer_ = {200, {}, body};
+    Send(end);
+  }
+
+  bool Answered(RequestId request) const { return answers_.contains(request); }
+  Outcome OutcomeOf(RequestId request) const {
+    return answers_.at(request).outcome_;
+  }
+  std::error_code ErrorOf(RequestId request) const {
+    return answers_.at(request).error_;
+  }
+
+ private:
+  void Sort(Outbox* out) {
+    for (Command& command : *out) {
+      std::visit([this](auto& c) { Take(c); }, command);
+    }
+  }
+  void Take(SendAnswer& c) {
+    ++answers_sent_;
+    answers_[c.request_] = *c.answer_;
+  }
+  void Take(StartTask& c) { starts_.push_back(c); }
+  void Take(AbandonAttempt& c) { abandoned_.push_back(c); }
+  void Take(ForwardSubmission& c) { forwards_.push_back(c); }
+  void Take(AbandonForward& c) { forwards_abandoned_.push_back(c); }
+};
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_TESTS_UNIT_DISPATCHER_FIXTURE_H_
