Read boot settings and the settings tree, and list services from Consul

Cause: an instance has to learn its addresses from its own file and everything shared from the platform, and the parts that serve need the Settings aggregate and the worker list first. Ruled out: INIReader of inih, which keeps no line numbers; long-lived connections to the platform, where a broken kept-alive connection leaves open whether a swap was sent.

--- a/include/gentiandeal/gentiandeal.h
+++ b/include/gentiandeal/gentiandeal.h
@@ -118,9 +118,10 @@
   Address platform_;                   ///< Port 0 runs without a platform.
   std::vector<Address> seed_workers_;  ///< Used until the first list arrives.
   std::vector<Address> seed_peers_;    ///< Used until the first list arrives.
-  std::string settings_file_;    ///< Used until the first revision arrives.
-  Duration drain_linger_{5000};  ///< Still accepts after SIGTERM this long.
-  Duration drain_limit_{30000};  ///< Exits after SIGTERM by this time.
+  std::string settings_file_;     ///< Used until the first revision arrives.
+  Duration settings_wait_{2000};  ///< Asks peers at start at most this long.
+  Duration drain_linger_{5000};   ///< Still accepts after SIGTERM this long.
+  Duration drain_limit_{30000};   ///< Exits after SIGTERM by this time.
   uint64_t seed_ = 0;  ///< Random seed for placement; 0 takes a random one.
 };
 
--- /dev/null
+++ b/src/boot_settings.cc
@@ -0,0 +1,211 @@
+#include "boot_settings.h"
+
+#include <filesystem>
+#include <set>
+
+namespace gentiandeal {
+namespace {
+
+constexpr size_t kMaxNameBytes = 64;
+constexpr Range kDrainRange{0, 600 * 1000};
+constexpr Range kWaitRange{0, 60 * 1000};
+constexpr Range kSeedRange{0, 9e15};
+
+bool IsName(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameBytes) return false;
+  for (const char c : text) {
+    const bool word = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                      (c >= '0' && c <= '9') || c == '-' || c == '_';
+    if (!word) return false;
+  }
+  return true;
+}
+
+/// Each reader stores one value and returns a fault, or an empty string.
+using Reader = std::string (*)(const std::string& value, Init* init);
+
+std::string ReadName(const std::string& value, std::string* out) {
+  if (!IsName(value)) {
+    return "'" + value + "' is no name: use 1 to 64 of a-z, A-Z, 0-9, - and _";
+  }
+  *out = value;
+  return {};
+}
+
+std::string ReadAddress(const std::string& value, Address* out) {
+  if (!ParseAddress(value, out)) return {};
+  return "'" + value +
+         "' is no address: write a numeric IP and a port, such as "
+         "10.0.0.5:8500";
+}
+
+std::string ReadAddresses(std::string value, std::vector<Address>* out) {
+  for (char& c : value) {
+    if (c == '\t') c = ' ';
+    if (c == ',') c = ' ';
+  }
+  size_t start = value.find_first_not_of(' ');
+  while (start != std::string::npos) {
+    const size_t end = std::min(value.find(' ', start), value.size());
+    Address address;
+    std::string fault = ReadAddress(value.substr(start, end - start), &address);
+    if (!fault.empty()) return fault;
+    out->push_back(address);
+    start = value.find_first_not_of(' ', end);
+  }
+  return {};
+}
+
+std::string ReadDuration(const std::string& value, Range range, Duration* out) {
+  std::string fault;
+  const auto ms = ParseValue(value, Unit::kDuration, range, &fault);
+  if (!ms) return fault;
+  out->ms_ = static_cast<int64_t>(*ms);
+  return {};
+}
+
+std::string ReadSeed(const std::string& value, uint64_t* out) {
+  std::string fault;
+  const auto seed = ParseValue(value, Unit::kCount, kSeedRange, &fault);
+  if (!seed) return fault;
+  *out = static_cast<uint64_t>(*seed);
+  return {};
+}
+
+struct BootKey {
+  std::string_view section_;
+  std::string_view key_;
+  bool list_ = false;  ///< May be given on several lines.
+  Reader read_ = nullptr;
+};
+
+constexpr BootKey kKeys[] = {
+    {"instance", "data_centre", false,
+     [](const std::string& value, Init* init) {
+       return ReadName(value, &init->data_centre_);
+     }},
+    {"instance", "region", false,
+     [](const std::string& value, Init* init) {
+       return ReadName(value, &init->region_);
+     }},
+    {"instance", "callers", false,
+     [](const std::string& value, Init* init) {
+       return ReadAddress(value, &init->callers_);
+     }},
+    {"instance", "peers", false,
+     [](const std::string& value, Init* init) {
+       return ReadAddress(value, &init->peers_);
+     }},
+    {"instance", "placement_seed", false,
+     [](const std::string& value, Init* init) {
+       return ReadSeed(value, &init->seed_);
+     }},
+    {"platform", "address", false,
+     [](const std::string& value, Init* init) {
+       return ReadAddress(value, &init->platform_);
+     }},
+    {"platform", "service", false,
+     [](const std::string& value, Init* init) {
+       return ReadName(value, &init->service_);
+     }},
+    {"platform", "settings", false,
+     [](const std::string& value, Init* init) -> std::string {
+       if (value.empty()) return "is empty: write a path or remove the line";
+       init->settings_file_ = value;
+       return {};
+     }},
+    {"platform", "settings_wait", false,
+     [](const std::string& value, Init* init) {
+       return ReadDuration(value, kWaitRange, &init->settings_wait_);
+     }},
+    {"seeds", "workers", true,
+     [](const std::string& value, Init* init) {
+       return ReadAddresses(value, &init->seed_workers_);
+     }},
+    {"seeds", "peers", true,
+     [](const std::string& value, Init* init) {
+       return ReadAddresses(value, &init->seed_peers_);
+     }},
+    {"drain", "linger", false,
+     [](const std::string& value, Init* init) {
+       return ReadDuration(value, kDrainRange, &init->drain_linger_);
+     }},
+    {"drain", "limit", false,
+     [](const std::string& value, Init* init) {
+       return ReadDuration(value, kDrainRange, &init->drain_limit_);
+     }},
+};
+
+const BootKey* FindKey(const IniEntry& entry) {
+  for (const BootKey& key : kKeys) {
+    if (key.section_ == entry.section_ && key.key_ == entry.key_) return &key;
+  }
+  return nullptr;
+}
+
+std::string KnownKeys() {
+  std::string text;
+  for (const BootKey& key : kKeys) {
+    if (!text.empty()) text += ", ";
+    text += std::string(key.section_) + "." + std::string(key.key_);
+  }
+  return text;
+}
+
+void CheckDrain(const std::string& file, const Init& init,
+                Diagnostics* faults) {
+  if (init.drain_linger_.ms_ <= init.drain_limit_.ms_) return;
+  faults->push_back({file, 0, "drain", "linger",
+                     "is above limit: lower it or raise the limit"});
+}
+
+void ResolveSettingsPath(const std::string& file, Init* init) {
+  if (init->settings_file_.empty()) return;
+  const std::filesystem::path path(init->settings_file_);
+  if (path.is_absolute()) return;
+  init->settings_file_ =
+      (std::filesystem::path(file).parent_path() / path).string();
+}
+
+}  // namespace
+
+std::error_code ParseBootSettings(const std::string& file,
+                                  std::string_view text, Init* out,
+                                  Diagnostics* faults) {
+  Init init;
+  std::set<const BootKey*> seen;
+  for (const IniEntry& entry : ReadIni(file, text, faults)) {
+    const BootKey* key = FindKey(entry);
+    if (key == nullptr) {
+      faults->push_back(
+          FaultAt(entry, "unknown key: use one of " + KnownKeys()));
+      continue;
+    }
+    if (!seen.insert(key).second && !key->list_) {
+      faults->push_back(FaultAt(entry, "is given twice: keep one line"));
+      continue;
+    }
+    std::string fault = key->read_(entry.value_, &init);
+    if (!fault.empty()) faults->push_back(FaultAt(entry, std::move(fault)));
+  }
+  CheckDrain(file, init, faults);
+  if (!faults->empty()) return Errc::kBadSettings;
+  ResolveSettingsPath(file, &init);
+  *out = std::move(init);
+  return {};
+}
+
+std::error_code LoadBootSettings(const std::string& file, Init* out,
+                                 Diagnostics* faults) {
+  std::string text;
+  const std::error_code error = ReadTextFile(file, &text);
+  if (error) {
+    faults->push_back({file, 0, "", "",
+                       "can't be read (" + error.message() +
+                           "): check the path and its permissions"});
+    return Errc::kBadSettings;
+  }
+  return ParseBootSettings(file, text, out, faults);
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/consul_codec.cc
@@ -0,0 +1,180 @@
+#include <openssl/evp.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "consul_platform.h"
+
+namespace gentiandeal {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kServerError = 500;
+constexpr int kTooManyRequests = 429;
+
+Json Parse(std::string_view body) {
+  return Json::parse(body, nullptr, /*allow_exceptions=*/false);
+}
+
+/// Whether the store itself says that it can't serve now.
+bool IsUnavailable(int status) {
+  return status >= kServerError || status == kTooManyRequests;
+}
+
+const Json* Find(const Json& object, const char* key) {
+  if (!object.is_object()) return nullptr;
+  const auto it = object.find(key);
+  return it == object.end() ? nullptr : &*it;
+}
+
+std::string FindString(const Json& object, const char* key) {
+  const Json* value = Find(object, key);
+  if (value == nullptr || !value->is_string()) return {};
+  return value->get<std::string>();
+}
+
+uint64_t ParseNumber(std::string_view text) {
+  uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  return error == std::errc() && stop == end ? value : 0;
+}
+
+uint16_t ParseLimit(const std::string& text, uint16_t max) {
+  const uint64_t value = ParseNumber(text);
+  return value <= max ? static_cast<uint16_t>(value) : 0;
+}
+
+bool DecodeBase64(const std::string& text, std::string* out) {
+  if (text.size() % 4 != 0) return false;
+  std::string bytes(text.size() / 4 * 3, '\0');
+  const int length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (length < 0) return false;
+  size_t padding = 0;
+  if (text.ends_with("==")) {
+    padding = 2;
+  } else if (text.ends_with('=')) {
+    padding = 1;
+  }
+  bytes.resize(static_cast<size_t>(length) - padding);
+  *out = std::move(bytes);
+  return true;
+}
+
+bool IsLeaving(const Json& entry) {
+  const Json* checks = Find(entry, "Checks");
+  if (checks == nullptr || !checks->is_array()) return false;
+  for (const Json& check : *checks) {
+    const std::string id = FindString(check, "CheckID");
+    if (FindString(check, "Status") == "critical") return true;
+    if (id == "_node_maintenance") return true;
+    if (id.starts_with("_service_maintenance")) return true;
+  }
+  return false;
+}
+
+constexpr uint16_t kMaxConnections = 1024;
+
+std::optional<ListedService> DecodeEntry(const Json& entry) {
+  const Json* service = Find(entry, "Service");
+  if (service == nullptr || !service->is_object()) return std::nullopt;
+  const Json none = Json::object();
+  const Json* node = Find(entry, "Node");
+  if (node == nullptr) node = &none;
+  const Json* meta = Find(*service, "Meta");
+  if (meta == nullptr) meta = &none;
+
+  ListedService listed;
+  const Json* port = Find(*service, "Port");
+  std::string host = FindString(*service, "Address");
+  if (host.empty()) host = FindString(*node, "Address");
+  if (port == nullptr || !port->is_number_unsigned()) return std::nullopt;
+  const auto number = port->get<uint64_t>();
+  const std::string text = ToString(Address{host, 0});
+  if (number == 0 || number > UINT16_MAX) return std::nullopt;
+  if (ParseAddress(text, &listed.address_)) return std::nullopt;
+  listed.address_.port_ = static_cast<uint16_t>(number);
+
+  listed.data_centre_ = FindString(*meta, "data_centre");
+  if (listed.data_centre_.empty()) {
+    listed.data_centre_ = FindString(*node, "Datacenter");
+  }
+  listed.region_ = FindString(*meta, "region");
+  listed.rack_ = FindString(*meta, "rack");
+  listed.slots_ =
+      ParseLimit(FindString(*meta, "slots"), config::kMaxSlotsPerWorker);
+  listed.max_connections_ =
+      ParseLimit(FindString(*meta, "max_connections"), kMaxConnections);
+  ParseAddress(FindString(*meta, "peers"), &listed.peers_);
+  listed.leaving_ = IsLeaving(entry);
+  return listed;
+}
+
+}  // namespace
+
+std::error_code DecodeConsulValue(int status, std::string_view index_header,
+                                  std::string_view body, StoreValue* out) {
+  StoreValue value;
+  value.watch_index_ = ParseNumber(index_header);
+  if (IsUnavailable(status)) return Errc::kPlatformUnavailable;
+  if (status == kNotFound) {
+    *out = std::move(value);
+    return {};
+  }
+  const Json answer = Parse(body);
+  if (status != kOk || !answer.is_array() || answer.size() != 1) {
+    return Errc::kPlatformBadAnswer;
+  }
+  const Json* index = Find(answer[0], "ModifyIndex");
+  const Json* text = Find(answer[0], "Value");
+  if (index == nullptr || !index->is_number_unsigned() || text == nullptr) {
+    return Errc::kPlatformBadAnswer;
+  }
+  if (text->is_string()) {
+    if (!DecodeBase64(text->get<std::string>(), &value.value_)) {
+      return Errc::kPlatformBadAnswer;
+    }
+  } else if (!text->is_null()) {
+    return Errc::kPlatformBadAnswer;
+  }
+  value.found_ = true;
+  value.swap_index_ = index->get<uint64_t>();
+  *out = std::move(value);
+  return {};
+}
+
+std::error_code DecodeConsulSwap(int status, std::string_view body,
+                                 SwapResult* out) {
+  // A failure of the store itself may come after the write was replicated.
+  if (IsUnavailable(status)) return Errc::kReplyLost;
+  const Json answer = Parse(body);
+  if (status != kOk) return Errc::kPlatformBadAnswer;
+  if (!answer.is_boolean()) return Errc::kReplyLost;
+  *out = answer.get<bool>() ? SwapResult::kSwapped : SwapResult::kMissed;
+  return {};
+}
+
+std::error_code DecodeConsulList(int status, std::string_view body,
+                                 std::vector<ListedService>* out) {
+  if (IsUnavailable(status)) return Errc::kPlatformUnavailable;
+  const Json answer = Parse(body);
+  if (status != kOk || !answer.is_array()) return Errc::kPlatformBadAnswer;
+  std::vector<ListedService> services;
+  std::set<Address> seen;
+  for (const Json& entry : answer) {
+    std::optional<ListedService> service = DecodeEntry(entry);
+    if (!service || !seen.insert(service->address_).second) continue;
+    services.push_back(*std::move(service));
+  }
+  *out = std::move(services);
+  return {};
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/tests/unit/settings_test.cc
@@ -0,0 +1,167 @@
+#include "settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "boot_settings.h"
+
+namespace gentiandeal {
+namespace {
+
+/// The faults of a tree, one line each, sorted by where they stand.
+std::vector<std::string> FaultsOf(const BranchTexts& branches) {
+  Settings settings;
+  Diagnostics faults;
+  const std::error_code error =
+      ParseSettingsTree(branches, {1}, &settings, &faults);
+  BOOST_TEST((error == Errc::kBadSettings) == !faults.empty());
+  std::vector<std::string> lines;
+  for (const Diagnostic& fault : faults) lines.push_back(ToString(fault));
+  return lines;
+}
+
+Settings Parse(const BranchTexts& branches) {
+  Settings settings;
+  Diagnostics faults;
+  BOOST_REQUIRE(!ParseSettingsTree(branches, {7}, &settings, &faults));
+  return settings;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_CASE(BranchesInheritAndOverride) {
+  const Settings settings =
+      Parse({{"/",
+              "[service]\nworker_slots = 4\nejection = on\n"
+              "[team]\nweight = 2\nmax_buffered_bytes = 8MiB\n"},
+             {"care", "[team]\ndefault_deadline = 3s ; seconds\n"},
+             {"care-day", "[team]\nweight = 9\n"},
+             {"care/night", "[team]\nweight = 0.5\n"}});
+  BOOST_TEST(settings.revision_.value_ == 7);
+  BOOST_TEST(settings.service_.worker_slots_ == 4);
+  BOOST_TEST(settings.service_.ejection_);
+  BOOST_TEST(settings.teams_.size() == 4);
+  BOOST_TEST(settings.FindTeam("").value_ == 0);
+  BOOST_TEST(settings.FindTeam("/").value_ == 0);
+  BOOST_TEST(!settings.FindTeam("care/day").valid());
+  const TeamHandle night = settings.FindTeam("care/night");
+  BOOST_REQUIRE(night.valid());
+  const TeamSettings& team = settings.teams_[night.value_];
+  BOOST_TEST(team.name_ == "care/night");
+  BOOST_TEST(team.weight_ == 0.5);
+  BOOST_TEST(team.default_deadline_.ms_ == 3000);
+  BOOST_TEST(team.max_buffered_bytes_ == 8 * 1024 * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(EveryFaultIsNamedAtOnce) {
+  const auto faults = FaultsOf(
+      {{"/", "[service]\nworker_slots = 0\nfast = on\n[extra]\na = 1\n"},
+       {"care",
+        "[team]\nweight = nan\ndefault_deadline = 5\nweight = 1\n"
+        "[service]\nejection = on\n"},
+       {"care/Night", ""},
+       {"desk/day", "[team]\n"},
+       {"old", "weight 3\n[team\n" + std::string(300, 'x') + "\n"}});
+  // NOLINTBEGIN(bugprone-suspicious-missing-comma): long lines are joined.
+  const std::vector<std::string> expected = {
+      "old:1: line is neither a section nor a value: write key = value",
+      "old:2: section has no closing bracket: write [name]",
+      "old:3: line is longer than 197 bytes: shorten it",
+      "/:2: [service] worker_slots: '0' is out of range: write 1 to 64",
+      "/:5: [extra] a: unknown section: use [team], or [service] in the root",
+      "care:2: [team] weight: 'nan' does not parse: write a number such as 1.5",
+      "care:3: [team] default_deadline: '5' does not parse: write a time such "
+      "as 250ms, 10s or 2min",
+      "care:4: [team] weight: is given twice: keep one line",
+      "care:6: [service] ejection: [service] belongs to the root: apply it to "
+      "branch /",
+      "care/Night: branch 'care/Night' is no path: join words of a-z, 0-9, - "
+      "and _ that start with a letter or digit by /, such as care/night",
+      "desk/day: branch 'desk/day' has no parent: apply 'desk' first"};
+  // NOLINTEND(bugprone-suspicious-missing-comma)
+  for (const std::string& line : expected) {
+    BOOST_TEST(std::count(faults.begin(), faults.end(), line) == 1, line);
+  }
+  BOOST_TEST(faults.size() == expected.size() + 1);  // And the unknown key.
+}
+
+BOOST_AUTO_TEST_CASE(QuotasStayWithinTheParents) {
+  const std::string root = "[team]\ntask_quota = 100\nmax_deadline = 20s\n";
+  BOOST_TEST(FaultsOf({{"/", root},
+                       {"a", "[team]\ntask_quota = 60\n"},
+                       {"b", "[team]\ntask_quota = 40\n"},
+                       {"c", ""}})
+                 .empty());
+  // One above the parent, the sum above it, unlimited below a limit.
+  BOOST_TEST(
+      FaultsOf({{"/", root}, {"a", "[team]\ntask_quota = 101\n"}}).size() == 2);
+  BOOST_TEST(FaultsOf({{"/", root},
+                       {"a", "[team]\ntask_quota = 60\n"},
+                       {"b", "[team]\ntask_quota = 41\n"}})
+                 .size() == 1);
+  BOOST_TEST(
+      FaultsOf({{"/", root}, {"a", "[team]\ntask_quota = 0\n"}}).size() == 1);
+  BOOST_TEST(
+      FaultsOf({{"/", root}, {"a", "[team]\nmax_deadline = 21s\n"}}).size() ==
+      1);
+  BOOST_TEST(FaultsOf({{"/", "[team]\ndefault_deadline = 70s\n"}}).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(TreeIsBoundedInBranches) {
+  BranchTexts branches;
+  for (uint32_t i = 1; i < config::kMaxTeams; ++i) {
+    branches["t" + std::to_string(i)] = "";
+  }
+  BOOST_TEST(FaultsOf(branches).empty());
+  branches["one-more"] = "";
+  BOOST_TEST(FaultsOf(branches).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(EffectiveValuesNameTheirOrigin) {
+  const BranchTexts branches = {{"/", "[team]\nweight = 2\n"},
+                                {"care", "[team]\ntask_quota = 5\n"},
+                                {"care/night", ""}};
+  std::map<std::string, EffectiveValue> values;
+  for (auto& value : ListEffectiveValues(branches, "care/night")) {
+    values[value.key_] = value;
+  }
+  BOOST_TEST(values["weight"].value_ == "2");
+  BOOST_TEST(values["weight"].origin_ == "/");
+  BOOST_TEST(values["task_quota"].origin_ == "care");
+  BOOST_TEST(values["max_deadline"].value_ == "1min");
+  BOOST_TEST(values["max_deadline"].origin_.empty());
+  BOOST_TEST(!values.contains("worker_slots"));
+}
+
+BOOST_AUTO_TEST_CASE(BootFileFillsInitAndNamesEveryFault) {
+  Init init;
+  Diagnostics faults;
+  BOOST_REQUIRE(!ParseBootSettings(
+      "boot/rennes.ini",
+      "[instance]\ndata_centre = rennes\nregion = bretagne\n"
+      "callers = 127.0.0.1:8080\npeers = [::1]:8081\n"
+      "[platform]\naddress = 127.0.0.1:8500\nservice = dossier\n"
+      "settings = ../settings\nsettings_wait = 1s\n"
+      "[seeds]\nworkers = 127.0.0.1:1, 127.0.0.1:2\n  127.0.0.1:3\n"
+      "[drain]\nlinger = 1s\nlimit = 2min\n",
+      &init, &faults));
+  BOOST_TEST(init.data_centre_ == "rennes");
+  BOOST_TEST(init.service_ == "dossier");
+  BOOST_TEST(init.settings_file_ == "boot/../settings");
+  BOOST_TEST(init.seed_workers_.size() == 3);
+  BOOST_TEST(init.drain_limit_.ms_ == 120000);
+
+  const Address before = init.callers_;
+  BOOST_TEST((ParseBootSettings("b.ini",
+                                "[instance]\ncallers = localhost:1\n"
+                                "data_centre = a b\nzone = x\n"
+                                "[drain]\nlinger = 5\nlimit = 11min\n",
+                                &init, &faults) == Errc::kBadSettings));
+  BOOST_TEST(faults.size() == 5);
+  BOOST_TEST((init.callers_ == before));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace gentiandeal
