--- a/src/gentiandeal_p.h
+++ b/src/gentiandeal_p.h
@@ -220,6 +220,9 @@
 /// Peers currently believed alive, complete.
 struct PeersChanged {
   std::vector<PeerView> peers_;
+  /// Live or listed instances everywhere, this one included. A partition
+  /// does not change it.
+  uint32_t known_instances_ = 1;
 };
 
 struct Settings;
--- /dev/null
+++ b/src/peer_link.cc
@@ -0,0 +1,660 @@
+#include "peer_link.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/intrusive/list.hpp>
+#include <cerrno>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "peer_socket.h"
+#include "peer_wire.h"
+#include "socket_address.h"
+
+namespace gentiandeal {
+namespace {
+
+constexpr timeval kTimerInterval{0, 20 * 1000};
+constexpr int kListenBacklog = 128;
+/// Largest frame read before the hello is done, in bytes.
+constexpr size_t kMaxHelloBytes = 512;
+/// An accepted link is closed after this many idle times of the other side,
+/// which closes first, so that no frame is on its way at that moment.
+constexpr int64_t kAcceptedIdleFactor = 4;
+/// Tries to find one port that is free for TCP and UDP.
+constexpr int kPortTries = 16;
+constexpr uint64_t kPeerRequestBit = uint64_t{1} << 63;
+constexpr uint64_t kNotQueued = std::numeric_limits<uint64_t>::max();
+
+using ListHook = boost::intrusive::list_base_hook<>;
+
+/// One TCP connection to or from a peer.
+struct Link : ListHook {
+  bufferevent* buffer_ = nullptr;
+  void* owner_ = nullptr;
+  bool outgoing_ = false;
+  bool ready_ = false;       ///< The hello was accepted.
+  bool may_submit_ = false;  ///< Accepted from a known peer.
+  bool retired_ = false;     ///< Takes no new forward.
+  Address remote_;
+  Incarnation expected_;
+  uint64_t queued_ = 0;   ///< Bytes given to the buffer since the start.
+  uint64_t written_ = 0;  ///< Bytes that the kernel took of them.
+  Time hello_deadline_;
+  Time last_used_;
+  std::vector<ForwardId> waiting_;  ///< Forwards that wait for the hello.
+  std::unordered_set<uint64_t> forwards_;
+  std::multiset<Time> pulls_;  ///< Deadlines of open pulls.
+  std::unordered_map<uint64_t, RequestId> requests_;  ///< By forward id.
+};
+
+struct Forward {
+  Link* link_ = nullptr;
+  uint64_t start_ = kNotQueued;  ///< Offset of its first byte in the stream.
+  Time deadline_;
+  std::string frame_;  ///< Kept until the hello is accepted.
+};
+
+struct Request {
+  Link* link_ = nullptr;
+  ForwardId forward_;
+};
+
+JobAnswer NotHandedOver(Errc error) {
+  JobAnswer answer;
+  answer.outcome_ = Outcome::kNotRun;
+  answer.error_ = error;
+  return answer;
+}
+
+JobAnswer Uncertain() {
+  JobAnswer answer;
+  answer.outcome_ = Outcome::kMayHaveRun;
+  answer.error_ = Errc::kPeerLinkLost;
+  answer.started_known_ = false;
+  return answer;
+}
+
+/// Stands for a complete answer that no frame can carry.
+JobAnswer TooLarge(const JobAnswer& answer) {
+  JobAnswer replacement;
+  replacement.outcome_ = Outcome::kMayHaveRun;
+  replacement.error_ = Errc::kAnswerTooLarge;
+  replacement.started_.resize(answer.tasks_.size());
+  std::iota(replacement.started_.begin(), replacement.started_.end(),
+            uint16_t{0});
+  return replacement;
+}
+
+void SetOptions(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+}
+
+}  // namespace
+
+class PeerLink::Impl {
+ public:
+  Impl(event_base* base, const InstanceId& self, Handler handler,
+       const PeerLinkLimits& limits)
+      : base_(base),
+        self_(self),
+        handler_(std::move(handler)),
+        limits_(limits) {
+    timer_ = event_new(base_, -1, EV_PERSIST, &Impl::OnTimer, this);
+    flush_ = event_new(base_, -1, 0, &Impl::OnFlush, this);
+    event_add(timer_, &kTimerInterval);
+  }
+
+  ~Impl() {
+    if (listener_ != nullptr) evconnlistener_free(listener_);
+    event_free(timer_);
+    event_free(flush_);
+    links_.clear_and_dispose([this](Link* link) { Free(link); });
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::error_code Listen(const Address& address) {
+    SocketAddress bind_to;
+    if (auto error = ToSocketAddress(address, &bind_to)) return error;
+    if (listener_ != nullptr) evconnlistener_free(listener_);
+    listener_ = evconnlistener_new_bind(
+        base_, &Impl::OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        kListenBacklog, bind_to.get(), static_cast<int>(bind_to.size_));
+    if (listener_ == nullptr) return {errno, std::system_category()};
+    return LocalAddress(evconnlistener_get_fd(listener_), &self_.peer_address_);
+  }
+
+  const Address& local() const { return self_.peer_address_; }
+
+  void On(const PeersChanged& changed) {
+    peers_.clear();
+    for (const PeerView& peer : changed.peers_) {
+      peers_[peer.id_.peer_address_] = peer.id_.incarnation_;
+    }
+  }
+
+  void On(const ForwardSubmission& forward) {
+    ++stats_.forwards_;
+    const auto peer = peers_.find(forward.peer_.peer_address_);
+    const bool known =
+        peer != peers_.end() && peer->second == forward.peer_.incarnation_;
+    if (!known) return Refuse(forward.forward_, Errc::kOwnerUnreachable);
+    if (forwards_.size() >= limits_.max_forwards_) {
+      return Refuse(forward.forward_, Errc::kQueueFull);
+    }
+    std::string frame = EncodeSubmit(forward);
+    if (frame.size() - kFrameLengthBytes > config::kMaxFrameBytes) {
+      return Refuse(forward.forward_, Errc::kBodyTooLarge);
+    }
+    if (buffered_ + frame.size() > limits_.max_buffered_bytes_) {
+      return Refuse(forward.forward_, Errc::kQueueFull);
+    }
+    Link* link = FindOrConnect(peer->first, peer->second);
+    if (link == nullptr) {
+      return Refuse(forward.forward_, Errc::kOwnerUnreachable);
+    }
+    Forward& entry = forwards_[forward.forward_.value_];
+    entry.link_ = link;
+    entry.deadline_ = clock_.Now() + forward.timeout_;
+    deadlines_.emplace(entry.deadline_, forward.forward_.value_);
+    link->forwards_.insert(forward.forward_.value_);
+    buffered_ += frame.size();
+    entry.frame_ = std::move(frame);
+    if (link->ready_) {
+      WriteForward(&entry);
+    } else {
+      link->waiting_.push_back(forward.forward_);
+    }
+  }
+
+  void On(const AbandonForward& abandon) {
+    const auto found = forwards_.find(abandon.forward_.value_);
+    if (found == forwards_.end()) return;
+    Link* link = found->second.link_;
+    const bool sent = found->second.start_ != kNotQueued;
+    Forget(found);
+    if (sent) Write(link, EncodeFrame(AbandonFrame{abandon.forward_}));
+  }
+
+  void On(const SendAnswer& message) {
+    const auto found = requests_.find(message.request_.value_);
+    if (found == requests_.end()) return;
+    const Request request = found->second;
+    requests_.erase(found);
+    request.link_->requests_.erase(request.forward_.value_);
+    WriteAnswer(request.link_, request.forward_, *message.answer_);
+  }
+
+  void PullSettings(const Address& peer, Duration timeout) {
+    Link* link = FindOrConnect(peer, Incarnation());
+    if (link == nullptr) return Emit(SettingsPulled{peer, false, {}});
+    link->pulls_.insert(clock_.Now() + timeout);
+    if (link->ready_) Write(link, EncodeFrame(PullSettingsFrame{}));
+  }
+
+  void SetSettings(SettingsDocument document) {
+    document_ = std::move(document);
+  }
+
+  bool idle() const {
+    return forwards_.empty() && requests_.empty() && buffered_ == 0 &&
+           events_.empty();
+  }
+
+  const PeerLinkStats& stats() const { return stats_; }
+
+ private:
+  using ForwardMap = std::unordered_map<uint64_t, Forward>;
+
+  // Events to the owner.
+
+  void Emit(PeerLinkEvent event) {
+    events_.push_back(std::move(event));
+    event_active(flush_, 0, 0);
+  }
+
+  static void OnFlush(evutil_socket_t /*fd*/, short /*what*/, void* self) {
+    auto* impl = static_cast<Impl*>(self);
+    std::vector<PeerLinkEvent> events;
+    events.swap(impl->events_);
+    for (PeerLinkEvent& event : events) impl->handler_(std::move(event));
+  }
+
+  void Refuse(ForwardId forward, Errc error) {
+    ++stats_.forwards_not_handed_over_;
+    Emit(ForwardEnded{forward, false, NotHandedOver(error)});
+  }
+
+  void EndUncertain(ForwardId forward) {
+    ++stats_.forwards_uncertain_;
+    Emit(ForwardEnded{forward, true, Uncertain()});
+  }
+
+  void Forget(ForwardMap::iterator found) {
+    Forward& forward = found->second;
+    if (forward.start_ == kNotQueued) {
+      buffered_ -= forward.frame_.size();
+      std::erase(forward.link_->waiting_, ForwardId{found->first});
+    }
+    forward.link_->forwards_.erase(found->first);
+    deadlines_.erase({forward.deadline_, found->first});
+    forwards_.erase(found);
+  }
+
+  // Connections.
+
+  Link* FindOrConnect(const Address& address, Incarnation expected) {
+    for (Link& link : links_) {
+      if (link.outgoing_ && !link.retired_ && link.remote_ == address &&
+          link.expected_ == expected) {
+        link.last_used_ = clock_.Now();
+        return &link;
+      }
+    }
+    SocketAddress target;
+    if (ToSocketAddress(address, &target)) return nullptr;
+    Link* link = Add(BoundSocket());
+    if (link == nullptr) return nullptr;
+    link->outgoing_ = true;
+    link->remote_ = address;
+    link->expected_ = expected;
+    if (bufferevent_socket_connect(link->buffer_, target.get(),
+                                   static_cast<int>(target.size_)) != 0) {
+      Remove(link);
+      return nullptr;
+    }
+    return link;
+  }
+
+  /// Socket that connects from the host that peers know, or -1 for any.
+  evutil_socket_t BoundSocket() const {
+    SocketAddress own;
+    if (ToSocketAddress({self_.peer_address_.host_, 0}, &own)) return -1;
+    const int type = SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
+    const int fd = socket(own.get()->sa_family, type, 0);
+    if (fd >= 0 && bind(fd, own.get(), own.size_) != 0) {
+      evutil_closesocket(fd);
+      return -1;
+    }
+    return fd;
+  }
+
+  Link* Add(evutil_socket_t fd) {
+    bufferevent* buffer =
+        bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE);
+    if (buffer == nullptr) return nullptr;
+    auto* link = new Link;
+    link->buffer_ = buffer;
+    link->owner_ = this;
+    link->last_used_ = clock_.Now();
+    link->hello_deadline_ = link->last_used_ + limits_.connect_timeout_;
+    bufferevent_setcb(buffer, &Impl::OnRead, nullptr, &Impl::OnState, link);
+    bufferevent_setwatermark(buffer, EV_READ, 0,
+                             config::kMaxFrameBytes + kFrameLengthBytes);
+    evbuffer_add_cb(bufferevent_get_output(buffer), &Impl::OnOutput, link);
+    bufferevent_enable(buffer, EV_READ | EV_WRITE);
+    links_.push_back(*link);
+    return link;
+  }
+
+  /// Frees what the link holds; it is already out of `links_`.
+  void Free(Link* link) {
+    buffered_ -= link->queued_ - link->written_;
+    evbuffer_remove_cb(bufferevent_get_output(link->buffer_), &Impl::OnOutput,
+                       link);
+    bufferevent_free(link->buffer_);
+    delete link;
+  }
+
+  void Remove(Link* link) {
+    links_.erase(links_.iterator_to(*link));
+    if (!link->outgoing_) --accepted_;
+    Free(link);
+  }
+
+  /// Ends everything that was open on a link, each with the outcome that is
+  /// sure, and removes it.
+  void Lose(Link* link) {
+    ++stats_.links_lost_;
+    while (!link->forwards_.empty()) {
+      const ForwardId id{*link->forwards_.begin()};
+      const auto found = forwards_.find(id.value_);
+      const uint64_t start = found->second.start_;
+      Forget(found);
+      if (start == kNotQueued || link->written_ <= start) {
+        Refuse(id, Errc::kOwnerUnreachable);
+      } else {
+        EndUncertain(id);
+      }
+    }
+    for (size_t i = 0; i < link->pulls_.size(); ++i) {
+      Emit(SettingsPulled{link->remote_, false, {}});
+    }
+    for (const auto& [forward, request] : link->requests_) {
+      requests_.erase(request.value_);
+      Emit(CallerGone{request});
+    }
+    Remove(link);
+  }
+
+  void Write(Link* link, const std::string& bytes) {
+    link->queued_ += bytes.size();
+    buffered_ += bytes.size();
+    link->last_used_ = clock_.Now();
+    stats_.bytes_sent_ += bytes.size();
+    bufferevent_write(link->buffer_, bytes.data(), bytes.size());
+  }
+
+  void WriteForward(Forward* forward) {
+    forward->start_ = forward->link_->queued_;
+    buffered_ -= forward->frame_.size();
+    Write(forward->link_, forward->frame_);
+    forward->frame_ = std::string();
+  }
+
+  /// Writes an answer, or drops a link whose peer does not read.
+  void WriteAnswer(Link* link, ForwardId forward, const JobAnswer& answer) {
+    std::string frame = EncodeAnswer(forward, answer);
+    if (frame.size() - kFrameLengthBytes > config::kMaxFrameBytes) {
+      frame = EncodeAnswer(forward, TooLarge(answer));
+    }
+    const uint64_t unsent = link->queued_ - link->written_;
+    if (unsent > limits_.max_buffered_bytes_) return Lose(link);
+    Write(link, frame);
+  }
+
+  static void OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                       void* link) {
+    auto* self = static_cast<Link*>(link);
+    self->written_ += info->n_deleted;
+    static_cast<Impl*>(self->owner_)->buffered_ -= info->n_deleted;
+  }
+
+  static void OnAccept(evconnlistener* /*listener*/, evutil_socket_t fd,
+                       sockaddr* from, int size, void* self) {
+    auto* impl = static_cast<Impl*>(self);
+    SocketAddress source;
+    std::copy_n(reinterpret_cast<const char*>(from), size,
+                reinterpret_cast<char*>(&source.storage_));
+    Link* link = nullptr;
+    Address remote;
+    if (impl->accepted_ < impl->limits_.max_accepted_ &&
+        !FromSocketAddress(source, &remote)) {
+      link = impl->Add(fd);
+    }
+    if (link == nullptr) {
+      evutil_closesocket(fd);
+      return;
+    }
+    ++impl->accepted_;
+    ++impl->stats_.links_accepted_;
+    SetOptions(fd);
+    link->remote_ = remote;
+  }
+
+  static void OnState(bufferevent* /*buffer*/, short what, void* context) {
+    auto* link = static_cast<Link*>(context);
+    auto* impl = static_cast<Impl*>(link->owner_);
+    if ((what & BEV_EVENT_CONNECTED) == 0) return impl->Lose(link);
+    ++impl->stats_.links_opened_;
+    SetOptions(bufferevent_getfd(link->buffer_));
+    impl->Write(link, EncodeFrame(HelloFrame{impl->self_, link->expected_}));
+  }
+
+  // Frames.
+
+  static void OnRead(bufferevent* buffer, void* context) {
+    auto* link = static_cast<Link*>(context);
+    auto* impl = static_cast<Impl*>(link->owner_);
+    evbuffer* input = bufferevent_get_input(buffer);
+    while (impl->ReadFrame(link, input)) {
+    }
+  }
+
+  /// Takes one frame. @returns false when none is whole or the link is gone.
+  bool ReadFrame(Link* link, evbuffer* input) {
+    char head[kFrameLengthBytes];
+    if (evbuffer_copyout(input, head, sizeof(head)) !=
+        static_cast<ev_ssize_t>(sizeof(head))) {
+      return false;
+    }
+    size_t size = 0;
+    if (!DecodeFrameLength({head, sizeof(head)}, &size) ||
+        (!link->ready_ && size > kMaxHelloBytes)) {
+      return Malformed(link);
+    }
+    const size_t whole = kFrameLengthBytes + size;
+    if (evbuffer_get_length(input) < whole) return false;
+    const unsigned char* bytes =
+        evbuffer_pullup(input, static_cast<ev_ssize_t>(whole));
+    Frame frame;
+    const bool good = DecodeFrame(
+        {reinterpret_cast<const char*>(bytes) + kFrameLengthBytes, size},
+        &frame);
+    evbuffer_drain(input, whole);
+    stats_.bytes_received_ += whole;
+    if (!good) return Malformed(link);
+    link->last_used_ = clock_.Now();
+    return std::visit([&](auto& body) { return Take(link, body); }, frame);
+  }
+
+  bool Malformed(Link* link) {
+    ++stats_.frames_malformed_;
+    Lose(link);
+    return false;
+  }
+
+  // Each `Take` returns false when the link is gone.
+
+  bool Take(Link* link, const HelloFrame& hello) {
+    if (link->outgoing_ || link->ready_) return Malformed(link);
+    const Address& claimed = hello.self_.peer_address_;
+    const bool any = !hello.expected_.valid();
+    const bool known = claimed.host_ == link->remote_.host_ &&
+                       peers_.find(claimed) != peers_.end();
+    const bool accepted =
+        any || (hello.expected_ == self_.incarnation_ && known);
+    if (!accepted) ++stats_.hellos_refused_;
+    link->ready_ = accepted;
+    link->may_submit_ = accepted && !any;
+    Write(link, EncodeFrame(HelloReplyFrame{self_, accepted}));
+    return true;
+  }
+
+  bool Take(Link* link, const HelloReplyFrame& reply) {
+    if (!link->outgoing_ || link->ready_) return Malformed(link);
+    const bool same =
+        !link->expected_.valid() || reply.self_.incarnation_ == link->expected_;
+    if (!reply.accepted_ || !same) {
+      Lose(link);
+      return false;
+    }
+    link->ready_ = true;
+    std::vector<ForwardId> waiting;
+    waiting.swap(link->waiting_);
+    for (const ForwardId id : waiting) {
+      WriteForward(&forwards_.find(id.value_)->second);
+    }
+    for (size_t i = 0; i < link->pulls_.size(); ++i) {
+      Write(link, EncodeFrame(PullSettingsFrame{}));
+    }
+    return true;
+  }
+
+  bool Take(Link* link, SubmitFrame& submit) {
+    const bool fresh = link->requests_.count(submit.forward_.value_) == 0;
+    if (!link->may_submit_ || !submit.forward_.valid() || !fresh ||
+        (submit.cancel_ && !submit.submission_)) {
+      return Malformed(link);
+    }
+    if (link->requests_.size() >= limits_.max_requests_per_link_) {
+      Write(link,
+            EncodeAnswer(submit.forward_, NotHandedOver(Errc::kQueueFull)));
+      return true;
+    }
+    const RequestId request{kPeerRequestBit | ++last_request_};
+    link->requests_[submit.forward_.value_] = request;
+    requests_[request.value_] = {link, submit.forward_};
+    if (submit.cancel_) {
+      Emit(CancelSubmission{request, *submit.submission_, true});
+    } else {
+      Emit(Submit{request, submit.submission_, true, submit.foreign_execution_,
+                  std::move(submit.job_)});
+    }
+    return true;
+  }
+
+  bool Take(Link* link, const AbandonFrame& abandon) {
+    if (!link->may_submit_) return Malformed(link);
+    const auto found = link->requests_.find(abandon.forward_.value_);
+    if (found == link->requests_.end()) return true;
+    requests_.erase(found->second.value_);
+    Emit(CallerGone{found->second});
+    link->requests_.erase(found);
+    return true;
+  }
+
+  bool Take(Link* link, AnswerFrame& answer) {
+    if (!link->outgoing_ || !link->ready_) return Malformed(link);
+    const auto found = forwards_.find(answer.forward_.value_);
+    if (found == forwards_.end() || found->second.link_ != link) return true;
+    Forget(found);
+    Emit(ForwardEnded{answer.forward_, true, std::move(answer.answer_)});
+    return true;
+  }
+
+  bool Take(Link* link, const PullSettingsFrame& /*pull*/) {
+    // One document at a time: whoever asks reads it before asking again.
+    const bool busy = link->queued_ != link->written_;
+    if (link->outgoing_ || !link->ready_ || busy) return Malformed(link);
+    Write(link,
+          EncodeFrame(SettingsFrame{document_.revision_, document_.text_}));
+    return true;
+  }
+
+  bool Take(Link* link, SettingsFrame& settings) {
+    if (link->pulls_.empty()) return Malformed(link);
+    link->pulls_.erase(link->pulls_.begin());
+    Emit(SettingsPulled{link->remote_,
+                        true,
+                        {settings.revision_, std::move(settings.document_)}});
+    return true;
+  }
+
+  // Time.
+
+  static void OnTimer(evutil_socket_t /*fd*/, short /*what*/, void* self) {
+    auto* impl = static_cast<Impl*>(self);
+    const Time now = impl->clock_.Now();
+    impl->EndOverdue(now);
+    impl->CloseOld(now);
+  }
+
+  void EndOverdue(Time now) {
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+      const ForwardId id{deadlines_.begin()->second};
+      const auto found = forwards_.find(id.value_);
+      Link* link = found->second.link_;
+      const bool queued = found->second.start_ != kNotQueued;
+      Forget(found);
+      if (!queued) {
+        Refuse(id, Errc::kOwnerUnreachable);
+        continue;
+      }
+      // Its bytes may still leave; the far side is told to drop it.
+      link->retired_ = true;
+      Write(link, EncodeFrame(AbandonFrame{id}));
+      EndUncertain(id);
+    }
+  }
+
+  void CloseOld(Time now) {
+    for (auto entry = links_.begin(); entry != links_.end();) {
+      Link* link = &*entry++;
+      const bool pull_overdue =
+          !link->pulls_.empty() && *link->pulls_.begin() <= now;
+      const bool hello_overdue = !link->ready_ && now > link->hello_deadline_;
+      const bool open = !link->forwards_.empty() || !link->requests_.empty() ||
+                        !link->pulls_.empty();
+      const int64_t factor = link->outgoing_ ? 1 : kAcceptedIdleFactor;
+      const Time idle_end =
+          link->last_used_ + Duration{limits_.idle_close_.ms_ * factor};
+      if (pull_overdue || hello_overdue) {
+        Lose(link);
+      } else if (!open && (link->retired_ || now > idle_end)) {
+        Remove(link);
+      }
+    }
+  }
+
+  event_base* base_;
+  InstanceId self_;
+  Handler handler_;
+  PeerLinkLimits limits_;
+  PeerLinkStats stats_;
+  MonotonicClock clock_;
+  event* timer_ = nullptr;
+  event* flush_ = nullptr;
+  evconnlistener* listener_ = nullptr;
+  std::map<Address, Incarnation> peers_;
+  boost::intrusive::list<Link> links_;
+  size_t accepted_ = 0;
+  size_t buffered_ = 0;  ///< Bytes not yet taken by the kernel.
+  ForwardMap forwards_;
+  std::set<std::pair<Time, uint64_t>> deadlines_;
+  std::unordered_map<uint64_t, Request> requests_;
+  uint64_t last_request_ = 0;
+  SettingsDocument document_;
+  std::vector<PeerLinkEvent> events_;
+};
+
+PeerLink::PeerLink(event_base* base, const InstanceId& self, Handler handler,
+                   const PeerLinkLimits& limits)
+    : impl_(std::make_unique<Impl>(base, self, std::move(handler), limits)) {}
+PeerLink::~PeerLink() = default;
+
+std::error_code PeerLink::Listen(const Address& address) {
+  return impl_->Listen(address);
+}
+const Address& PeerLink::local() const { return impl_->local(); }
+void PeerLink::On(const PeersChanged& peers) { impl_->On(peers); }
+void PeerLink::On(const ForwardSubmission& forward) { impl_->On(forward); }
+void PeerLink::On(const AbandonForward& abandon) { impl_->On(abandon); }
+void PeerLink::On(const SendAnswer& answer) { impl_->On(answer); }
+void PeerLink::PullSettings(const Address& peer, Duration timeout) {
+  impl_->PullSettings(peer, timeout);
+}
+void PeerLink::SetSettings(SettingsDocument document) {
+  impl_->SetSettings(std::move(document));
+}
+bool PeerLink::idle() const { return impl_->idle(); }
+const PeerLinkStats& PeerLink::stats() const { return impl_->stats(); }
+
+std::error_code OpenPeerPort(const Address& address, PeerLink* link,
+                             PeerSocket* socket) {
+  std::error_code error;
+  const int tries = address.port_ == 0 ? kPortTries : 1;
+  for (int i = 0; i < tries; ++i) {
+    error = link->Listen(address);
+    if (error) return error;
+    error = socket->Open(link->local());
+    if (!error) return {};
+  }
+  return error;
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/peer_socket.h
@@ -0,0 +1,53 @@
+#ifndef GENTIANDEAL_SRC_PEER_SOCKET_H_
+#define GENTIANDEAL_SRC_PEER_SOCKET_H_
+
+#include <event2/event.h>
+
+#include <functional>
+#include <string_view>
+
+#include "gentiandeal_p.h"
+
+namespace gentiandeal {
+
+/// UDP socket on which entry instances exchange datagrams. Lives on one event
+/// loop; datagrams are read in bounded batches.
+class PeerSocket {
+ public:
+  /// Called for each datagram, with the address it came from.
+  using Handler =
+      std::function<void(const Address& from, std::string_view bytes)>;
+
+  PeerSocket(event_base* base, Handler handler);
+  ~PeerSocket();
+  PeerSocket(const PeerSocket&) = delete;
+  PeerSocket& operator=(const PeerSocket&) = delete;
+
+  /// Binds and starts to read. @returns the error of the socket or the bind.
+  std::error_code Open(const Address& address);
+
+  /// Sends one datagram. Errors are counted: a lost datagram is repaired by
+  /// the next one.
+  void Send(const Address& to, std::string_view bytes);
+
+  /// Address with the port that the kernel chose.
+  const Address& local() const { return local_; }
+  uint64_t send_errors() const { return send_errors_; }
+
+  void Close();
+
+ private:
+  static void OnReadable(evutil_socket_t fd, short what, void* self);
+  void ReadBatch();
+
+  event_base* base_;
+  Handler handler_;
+  event* event_ = nullptr;
+  evutil_socket_t fd_ = -1;
+  Address local_;
+  uint64_t send_errors_ = 0;
+};
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_PEER_SOCKET_H_
--- /dev/null
+++ b/src/peer_wire.cc
@@ -0,0 +1,488 @@
+#include "peer_wire.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <istream>
+#include <ostream>
+#include <streambuf>
+
+namespace gentiandeal {
+namespace {
+
+/// First byte of every datagram; changes with the format.
+constexpr uint8_t kDatagramFormat = 0xd1;
+/// First byte of every frame; changes with the format.
+constexpr uint8_t kFrameFormat = 0xf1;
+constexpr uint8_t kNibbleMax = 0x0f;
+constexpr uint32_t kMaxFieldsPerMessage = 4096;
+
+class AppendBuffer : public std::streambuf {
+ public:
+  explicit AppendBuffer(std::string* out) : out_(out) {}
+
+ protected:
+  std::streamsize xsputn(const char* data, std::streamsize size) override {
+    out_->append(data, static_cast<size_t>(size));
+    return size;
+  }
+  int_type overflow(int_type c) override {
+    out_->push_back(static_cast<char>(c));
+    return c;
+  }
+
+ private:
+  std::string* out_;
+};
+
+class ViewBuffer : public std::streambuf {
+ public:
+  explicit ViewBuffer(std::string_view bytes) {
+    char* begin = const_cast<char*>(bytes.data());
+    setg(begin, begin, begin + bytes.size());
+  }
+  size_t left() const { return static_cast<size_t>(egptr() - gptr()); }
+};
+
+/// Writes fields through cereal; sizes are 32 bits wide.
+class Writer {
+ public:
+  static constexpr bool kReads = false;
+  explicit Writer(std::string* out)
+      : buffer_(out), stream_(&buffer_), archive_(stream_) {}
+
+  template <typename T>
+  requires std::is_arithmetic_v<T>
+  void Value(const T& value) { archive_(value); }
+  void Text(const std::string& text) {
+    archive_(static_cast<uint32_t>(text.size()));
+    archive_(cereal::binary_data(text.data(), text.size()));
+  }
+  /// Writes the number of elements.
+  template <typename T, typename Count>
+  void Size(const std::vector<T>& elements, size_t /*max*/, Count /*type*/) {
+    archive_(static_cast<Count>(elements.size()));
+  }
+  bool failed() const { return false; }
+
+ private:
+  AppendBuffer buffer_;
+  std::ostream stream_;
+  cereal::PortableBinaryOutputArchive archive_;
+};
+
+/// Reads fields through cereal. Once it failed it stays failed.
+class Reader {
+ public:
+  static constexpr bool kReads = true;
+  explicit Reader(std::string_view bytes)
+      : buffer_(bytes), stream_(&buffer_), archive_(stream_) {}
+
+  template <typename T>
+  requires std::is_arithmetic_v<T>
+  void Value(T& value) {
+    if (left() < sizeof(T)) failed_ = true;
+    if (!failed_) archive_(value);
+  }
+  void Text(std::string& text) {
+    uint32_t size = 0;
+    Value(size);
+    if (size > left()) failed_ = true;
+    if (failed_) return;
+    text.resize(size);
+    archive_(cereal::binary_data(text.data(), text.size()));
+  }
+  /// Reads the number of elements; each takes at least one byte.
+  template <typename T, typename Count>
+  void Size(std::vector<T>& elements, size_t max, Count /*type*/) {
+    Count size = 0;
+    Value(size);
+    if (size > max || size > left()) failed_ = true;
+    if (!failed_) elements.resize(size);
+  }
+  size_t left() const { return buffer_.left(); }
+  bool failed() const { return failed_; }
+  void Fail() { failed_ = true; }
+
+ private:
+  ViewBuffer buffer_;
+  std::istream stream_;
+  cereal::PortableBinaryInputArchive archive_;
+  bool failed_ = false;
+};
+
+// One function for each type serves both directions.
+
+template <typename A, typename Tag, typename Rep, Rep kInvalidValue>
+void Fields(A& archive, Id<Tag, Rep, kInvalidValue>& id) {
+  archive.Value(id.value_);
+}
+
+template <typename A>
+void Fields(A& archive, bool& flag) {
+  uint8_t byte = flag ? 1 : 0;
+  archive.Value(byte);
+  if constexpr (A::kReads) flag = byte != 0;
+}
+
+template <typename A>
+void Fields(A& archive, Duration& duration) {
+  archive.Value(duration.ms_);
+}
+
+template <typename A>
+void Fields(A& archive, WireTeamUse& use) {
+  Fields(archive, use.team_);
+  archive.Value(use.running_);
+  archive.Value(use.waiting_);
+  archive.Value(use.starts_per_second_);
+}
+
+template <typename A>
+void Fields(A& archive, WireWorkerUse& use) {
+  Fields(archive, use.worker_);
+  archive.Value(use.in_use_);
+}
+
+template <typename A, typename T, typename Count>
+void List(A& archive, std::vector<T>& elements, size_t max, Count count) {
+  archive.Size(elements, max, count);
+  for (T& element : elements) {
+    if (archive.failed()) return;
+    Fields(archive, element);
+  }
+}
+
+template <typename A>
+void Fields(A& archive, DatagramHead& head) {
+  Fields(archive, head.incarnation_);
+  archive.Value(head.sequence_);
+}
+
+template <typename A>
+void Fields(A& archive, StateDatagram& state) {
+  Fields(archive, state.head_);
+  archive.Text(state.data_centre_);
+  Fields(archive, state.revision_);
+  archive.Value(state.queued_tasks_);
+  archive.Value(state.free_slots_);
+  Fields(archive, state.worker_list_);
+  archive.Value(state.interval_ms_);
+  Fields(archive, state.draining_);
+  Fields(archive, state.wants_reply_);
+  List(archive, state.teams_, kMaxTeamsPerDatagram, uint8_t{0});
+}
+
+/// Counts take four bits each where all of them fit.
+template <typename A>
+void Counts(A& archive, std::vector<uint8_t>& counts) {
+  bool packed = std::all_of(counts.begin(), counts.end(),
+                            [](uint8_t count) { return count <= kNibbleMax; });
+  Fields(archive, packed);
+  auto size = static_cast<uint16_t>(counts.size());
+  archive.Value(size);
+  if constexpr (A::kReads) {
+    const size_t needed = packed ? (size + 1U) / 2 : size;
+    if (size > config::kMaxWorkers || needed > archive.left()) archive.Fail();
+    if (archive.failed()) return;
+    counts.resize(size);
+  }
+  const size_t step = packed ? 2 : 1;
+  for (size_t i = 0; i < counts.size(); i += step) {
+    const bool pair = packed && i + 1 < counts.size();
+    uint8_t byte = counts[i];
+    if (pair) byte = static_cast<uint8_t>(byte | (counts[i + 1] << 4));
+    archive.Value(byte);
+    if constexpr (A::kReads) {
+      counts[i] = packed ? byte & kNibbleMax : byte;
+      if (pair) counts[i + 1] = byte >> 4;
+    }
+  }
+}
+
+template <typename A>
+void Fields(A& archive, LoadDatagram& load) {
+  Fields(archive, load.head_);
+  archive.Value(load.queued_tasks_);
+  Counts(archive, load.counts_);
+  if (!load.counts_.empty()) Fields(archive, load.worker_list_);
+  List(archive, load.changes_, kMaxChangesPerDatagram, uint8_t{0});
+  List(archive, load.teams_, kMaxTeamsPerDatagram, uint8_t{0});
+}
+
+template <typename A>
+void Fields(A& archive, InstanceId& id) {
+  archive.Text(id.data_centre_);
+  archive.Text(id.peer_address_.host_);
+  archive.Value(id.peer_address_.port_);
+  Fields(archive, id.incarnation_);
+}
+
+template <typename A>
+void Fields(A& archive, HttpField& field) {
+  archive.Text(field.first);
+  archive.Text(field.second);
+}
+
+template <typename A>
+void Fields(A& archive, TaskSpec& task) {
+  archive.Text(task.method_);
+  archive.Text(task.path_);
+  List(archive, task.fields_, kMaxFieldsPerMessage, uint32_t{0});
+  archive.Text(task.body_);
+  archive.Text(task.kind_);
+  Fields(archive, task.declared_run_);
+  archive.Value(task.declared_size_);
+}
+
+template <typename A>
+void Fields(A& archive, JobSpec& job) {
+  archive.Text(job.team_);
+  Fields(archive, job.deadline_);
+  Fields(archive, job.idempotent_);
+  Fields(archive, job.passthrough_);
+  List(archive, job.tasks_, config::kMaxTasksPerJob, uint32_t{0});
+}
+
+template <typename A>
+void Fields(A& archive, TaskAnswer& answer) {
+  archive.Value(answer.status_);
+  List(archive, answer.fields_, kMaxFieldsPerMessage, uint32_t{0});
+  archive.Text(answer.body_);
+}
+
+template <typename A>
+void Fields(A& archive, uint16_t& value) {
+  archive.Value(value);
+}
+
+/// Errors of this project keep their kind; others arrive as a lost link.
+template <typename A>
+void Fields(A& archive, std::error_code& error) {
+  const bool ours = error.category() == GentiandealCategory();
+  uint16_t code = 0;
+  if (error) {
+    code = static_cast<uint16_t>(ours ? error.value()
+                                      : static_cast<int>(Errc::kPeerLinkLost));
+  }
+  archive.Value(code);
+  if constexpr (A::kReads) {
+    if (code > static_cast<uint16_t>(Errc::kUsage)) archive.Fail();
+    error = code == 0 ? std::error_code() : static_cast<Errc>(code);
+  }
+}
+
+template <typename A>
+void Fields(A& archive, Outcome& outcome) {
+  auto byte = static_cast<uint8_t>(outcome);
+  archive.Value(byte);
+  if constexpr (A::kReads) {
+    if (byte > static_cast<uint8_t>(Outcome::kMayHaveRun)) archive.Fail();
+    outcome = static_cast<Outcome>(byte);
+  }
+}
+
+template <typename A>
+void Fields(A& archive, JobAnswer& answer) {
+  Fields(archive, answer.outcome_);
+  Fields(archive, answer.error_);
+  Fields(archive, answer.retry_after_);
+  List(archive, answer.tasks_, config::kMaxTasksPerJob, uint32_t{0});
+  List(archive, answer.started_, config::kMaxTasksPerJob, uint32_t{0});
+  Fields(archive, answer.started_known_);
+}
+
+template <typename A>
+void Fields(A& archive, SubmissionId& id) {
+  Fields(archive, id.client_.owner_);
+  archive.Value(id.client_.serial_);
+  archive.Value(id.client_.expires_ms_);
+  for (uint8_t& byte : id.client_.mac_) archive.Value(byte);
+  archive.Value(id.sequence_);
+  archive.Value(id.acknowledged_);
+}
+
+template <typename A>
+void Fields(A& archive, std::optional<SubmissionId>& id) {
+  bool present = id.has_value();
+  Fields(archive, present);
+  if (!present) return;
+  if constexpr (A::kReads) id.emplace();
+  Fields(archive, *id);
+}
+
+template <typename A>
+void Fields(A& archive, HelloFrame& frame) {
+  Fields(archive, frame.self_);
+  Fields(archive, frame.expected_);
+}
+
+template <typename A>
+void Fields(A& archive, HelloReplyFrame& frame) {
+  Fields(archive, frame.self_);
+  Fields(archive, frame.accepted_);
+}
+
+template <typename A>
+void SubmitHead(A& archive, ForwardId& forward,
+                std::optional<SubmissionId>& submission, bool& cancel,
+                bool& foreign_execution) {
+  Fields(archive, forward);
+  Fields(archive, submission);
+  Fields(archive, cancel);
+  Fields(archive, foreign_execution);
+}
+
+template <typename A>
+void Fields(A& archive, SubmitFrame& frame) {
+  SubmitHead(archive, frame.forward_, frame.submission_, frame.cancel_,
+             frame.foreign_execution_);
+  Fields(archive, frame.job_);
+}
+
+template <typename A>
+void Fields(A& archive, AbandonFrame& frame) {
+  Fields(archive, frame.forward_);
+}
+
+template <typename A>
+void Fields(A& archive, AnswerFrame& frame) {
+  Fields(archive, frame.forward_);
+  Fields(archive, frame.answer_);
+}
+
+template <typename A>
+void Fields(A& /*archive*/, PullSettingsFrame& /*frame*/) {}
+
+template <typename A>
+void Fields(A& archive, SettingsFrame& frame) {
+  Fields(archive, frame.revision_);
+  archive.Text(frame.document_);
+}
+
+/// Index of `T` among the alternatives of a variant; its kind on the wire.
+template <typename T, typename Variant>
+uint8_t Kind() {
+  return static_cast<uint8_t>(Variant(std::in_place_type<T>).index());
+}
+
+template <typename Variant, size_t kIndex = 0>
+bool ReadAlternative(Reader& reader, size_t kind, Variant* out) {
+  if constexpr (kIndex == std::variant_size_v<Variant>) {
+    return false;
+  } else {
+    if (kind != kIndex) {
+      return ReadAlternative<Variant, kIndex + 1>(reader, kind, out);
+    }
+    Fields(reader, out->template emplace<kIndex>());
+    return !reader.failed() && reader.left() == 0;
+  }
+}
+
+template <typename Variant>
+bool ReadWhole(std::string_view bytes, uint8_t expected_format, Variant* out) {
+  try {
+    Reader reader(bytes);
+    uint8_t format = 0;
+    uint8_t kind = 0;
+    reader.Value(format);
+    reader.Value(kind);
+    if (reader.failed() || format != expected_format) return false;
+    return ReadAlternative(reader, kind, out);
+  } catch (const cereal::Exception&) {
+    return false;
+  }
+}
+
+void WriteHead(Writer& writer, uint8_t format, uint8_t kind) {
+  writer.Value(format);
+  writer.Value(kind);
+}
+
+void SetFrameLength(std::string* bytes) {
+  const size_t size = bytes->size() - kFrameLengthBytes;
+  for (size_t i = 0; i < kFrameLengthBytes; ++i) {
+    (*bytes)[i] = static_cast<char>(size >> (8 * (kFrameLengthBytes - 1 - i)));
+  }
+}
+
+}  // namespace
+
+NameHash HashName(std::string_view name) {
+  const auto hash =
+      static_cast<uint32_t>(XXH3_64bits(name.data(), name.size()));
+  return {hash == 0 ? 1 : hash};
+}
+
+std::string Encode(const Datagram& datagram) {
+  std::string bytes;
+  Writer writer(&bytes);
+  WriteHead(writer, kDatagramFormat, static_cast<uint8_t>(datagram.index()));
+  // Writing does not change the fields; they are shared with reading.
+  std::visit([&writer](auto& body) { Fields(writer, body); },
+             const_cast<Datagram&>(datagram));
+  return bytes;
+}
+
+bool Decode(std::string_view bytes, Datagram* out) {
+  if (bytes.empty() || bytes.size() > config::kMaxDatagramBytes) return false;
+  if (!ReadWhole(bytes, kDatagramFormat, out)) return false;
+  const auto* state = std::get_if<StateDatagram>(out);
+  if (state == nullptr)
+    return std::get<LoadDatagram>(*out).head_.incarnation_.valid();
+  return state->head_.incarnation_.valid() &&
+         state->data_centre_.size() <= kMaxDataCentreBytes;
+}
+
+std::string EncodeFrame(const Frame& frame) {
+  std::string bytes(kFrameLengthBytes, '\0');
+  Writer writer(&bytes);
+  WriteHead(writer, kFrameFormat, static_cast<uint8_t>(frame.index()));
+  std::visit([&writer](auto& body) { Fields(writer, body); },
+             const_cast<Frame&>(frame));
+  SetFrameLength(&bytes);
+  return bytes;
+}
+
+std::string EncodeSubmit(const ForwardSubmission& forward) {
+  std::string bytes(kFrameLengthBytes, '\0');
+  Writer writer(&bytes);
+  WriteHead(writer, kFrameFormat, Kind<SubmitFrame, Frame>());
+  auto& fields = const_cast<ForwardSubmission&>(forward);
+  SubmitHead(writer, fields.forward_, fields.submission_, fields.cancel_,
+             fields.foreign_execution_);
+  JobSpec none;
+  const bool has_job = forward.job_ != nullptr;
+  Fields(writer, has_job ? const_cast<JobSpec&>(*forward.job_) : none);
+  SetFrameLength(&bytes);
+  return bytes;
+}
+
+std::string EncodeAnswer(ForwardId forward, const JobAnswer& answer) {
+  std::string bytes(kFrameLengthBytes, '\0');
+  Writer writer(&bytes);
+  WriteHead(writer, kFrameFormat, Kind<AnswerFrame, Frame>());
+  Fields(writer, forward);
+  Fields(writer, const_cast<JobAnswer&>(answer));
+  SetFrameLength(&bytes);
+  return bytes;
+}
+
+bool DecodeFrameLength(std::string_view bytes, size_t* out) {
+  if (bytes.size() < kFrameLengthBytes) return false;
+  size_t size = 0;
+  for (size_t i = 0; i < kFrameLengthBytes; ++i) {
+    size = (size << 8) | static_cast<uint8_t>(bytes[i]);
+  }
+  if (size == 0 || size > config::kMaxFrameBytes) return false;
+  *out = size;
+  return true;
+}
+
+bool DecodeFrame(std::string_view bytes, Frame* out) {
+  if (bytes.empty() || bytes.size() > config::kMaxFrameBytes) return false;
+  return ReadWhole(bytes, kFrameFormat, out);
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/socket_address.cc
@@ -0,0 +1,58 @@
+#include "socket_address.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <cerrno>
+
+namespace gentiandeal {
+
+std::error_code ToSocketAddress(const Address& address, SocketAddress* out) {
+  *out = {};
+  auto* v4 = reinterpret_cast<sockaddr_in*>(&out->storage_);
+  if (inet_pton(AF_INET, address.host_.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(address.port_);
+    out->size_ = sizeof(sockaddr_in);
+    return {};
+  }
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(&out->storage_);
+  if (inet_pton(AF_INET6, address.host_.c_str(), &v6->sin6_addr) != 1) {
+    return Errc::kBadAddress;
+  }
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons(address.port_);
+  out->size_ = sizeof(sockaddr_in6);
+  return {};
+}
+
+std::error_code FromSocketAddress(const SocketAddress& socket_address,
+                                  Address* out) {
+  char text[INET6_ADDRSTRLEN];
+  const sockaddr* any = socket_address.get();
+  const auto* v4 = reinterpret_cast<const sockaddr_in*>(any);
+  const auto* v6 = reinterpret_cast<const sockaddr_in6*>(any);
+  switch (any->sa_family) {
+    case AF_INET:
+      inet_ntop(AF_INET, &v4->sin_addr, text, sizeof(text));
+      *out = {text, ntohs(v4->sin_port)};
+      return {};
+    case AF_INET6:
+      inet_ntop(AF_INET6, &v6->sin6_addr, text, sizeof(text));
+      *out = {text, ntohs(v6->sin6_port)};
+      return {};
+    default:
+      return Errc::kBadAddress;
+  }
+}
+
+std::error_code LocalAddress(int fd, Address* out) {
+  SocketAddress local;
+  local.size_ = sizeof(local.storage_);
+  if (getsockname(fd, local.get(), &local.size_) != 0) {
+    return {errno, std::system_category()};
+  }
+  return FromSocketAddress(local, out);
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/tests/unit/membership_test.cc
@@ -0,0 +1,398 @@
+#include "membership.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+#include <random>
+
+#include "peer_wire.h"
+
+namespace gentiandeal {
+namespace {
+
+Address PeerAddress(int index) {
+  return {"10.0.0." + std::to_string(index + 1), 7000};
+}
+
+std::vector<WorkerInfo> Workers(int count) {
+  std::vector<WorkerInfo> workers;
+  for (int i = 0; i < count; ++i) {
+    WorkerInfo worker;
+    worker.address_ = {"10.1.0." + std::to_string(i + 1), 8000};
+    workers.push_back(worker);
+  }
+  return workers;
+}
+
+/// Instances on one virtual network and clock.
+class Fleet {
+ public:
+  struct Node {
+    InstanceId id_;
+    std::unique_ptr<Membership> membership_;
+    OwnLoad load_;
+    std::map<Address, uint16_t> in_use_;
+    // What the node was told.
+    std::vector<PeerView> view_;
+    InstancesChanged counts_;
+    std::map<std::pair<Incarnation, Address>, uint16_t> peer_use_;
+    std::map<std::pair<Incarnation, uint16_t>, TeamUse> team_use_;
+    std::vector<Incarnation> lost_;
+    Revision heard_revision_;
+    int reports_ = 0;
+    bool runs_ = true;
+  };
+
+  /// Adds a node that is listed nowhere yet.
+  Node& Add(const std::string& data_centre) {
+    auto node = std::make_unique<Node>();
+    node->id_ = {data_centre,
+                 PeerAddress(static_cast<int>(nodes_.size())),
+                 {++last_incarnation_}};
+    nodes_.push_back(std::move(node));
+    Start(nodes_.back().get());
+    return *nodes_.back();
+  }
+
+  void Restart(Node* node) {
+    node->id_.incarnation_ = {++last_incarnation_};
+    Start(node);
+    List(node);
+  }
+
+  void ListAll() {
+    for (auto& node : nodes_) List(node.get());
+  }
+
+  void List(Node* to) {
+    std::vector<PeerInfo> list;
+    for (auto& node : nodes_) {
+      list.push_back({node->id_.peer_address_, node->id_.data_centre_, false});
+    }
+    to->membership_->SetList(list, now_);
+  }
+
+  void Run(Duration length) {
+    for (const Time end = now_ + length; now_ < end;) {
+      now_ = now_ + config::kTickInterval;
+      Deliver();
+      for (auto& node : nodes_) {
+        if (node->runs_) Tick(node.get());
+      }
+    }
+  }
+
+  void Deliver() {
+    std::deque<Packet> due;
+    due.swap(packets_);
+    if (shuffle_) std::shuffle(due.begin(), due.end(), random_);
+    for (const Packet& packet : due) {
+      for (auto& node : nodes_) {
+        if (node->id_.peer_address_ != packet.to_ || !node->runs_) continue;
+        PeerEvents events;
+        node->membership_->OnDatagram(packet.from_, packet.bytes_, now_,
+                                      &events);
+        Take(node.get(), events);
+      }
+    }
+  }
+
+  void Tick(Node* node) {
+    PeerEvents events;
+    node->membership_->Tick(
+        now_, node->load_,
+        [node](const Address& worker) { return node->in_use_[worker]; },
+        &events);
+    Take(node, events);
+  }
+
+  void Take(Node* node, const PeerEvents& events) {
+    for (const PeerEvent& event : events) {
+      std::visit([&](const auto& e) { On(node, e); }, event);
+    }
+  }
+
+  static bool Sees(const Node& node, const Node& other) {
+    return std::any_of(node.view_.begin(), node.view_.end(),
+                       [&](const PeerView& v) { return v.id_ == other.id_; });
+  }
+
+  Node& operator[](size_t index) { return *nodes_[index]; }
+
+  Time now_{100000};
+  double loss_ = 0;
+  bool duplicate_ = false;
+  bool shuffle_ = false;
+  std::function<bool(const Address& from, const Address& to)> cut_;
+  std::vector<Address> sent_to_;
+
+ private:
+  struct Packet {
+    Address from_;
+    Address to_;
+    std::string bytes_;
+  };
+
+  void Start(Node* node) {
+    node->membership_ = std::make_unique<Membership>(node->id_);
+    node->membership_->SetWorkers(Workers(12));
+  }
+
+  void On(Node* node, const SendDatagram& send) {
+    sent_to_.push_back(send.to_);
+    const Address& from = node->id_.peer_address_;
+    if (cut_ && cut_(from, send.to_)) return;
+    const double drawn = std::uniform_real_distribution<>(0, 1)(random_);
+    if (drawn < loss_) return;
+    packets_.push_back({from, send.to_, send.bytes_});
+    if (duplicate_) packets_.push_back({from, send.to_, send.bytes_});
+  }
+  void On(Node* node, const PeersChanged& changed) {
+    node->view_ = changed.peers_;
+  }
+  void On(Node* node, const PeerLoad& load) {
+    ++node->reports_;
+    for (const auto& entry : load.entries_) {
+      node->peer_use_[{load.peer_, entry.worker_}] = entry.in_use_;
+    }
+  }
+  void On(Node* node, const PeerLost& lost) {
+    node->lost_.push_back(lost.peer_);
+    std::erase_if(node->peer_use_, [&](const auto& entry) {
+      return entry.first.first == lost.peer_;
+    });
+  }
+  void On(Node* node, const PeerTeamUse& use) {
+    node->team_use_[{use.peer_, use.use_.team_.value_}] = use.use_;
+  }
+  void On(Node* node, const PeerHoldsRevision& holds) {
+    node->heard_revision_ = std::max(node->heard_revision_, holds.revision_);
+  }
+  void On(Node* node, const InstancesChanged& counts) {
+    node->counts_ = counts;
+  }
+
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::deque<Packet> packets_;
+  std::mt19937 random_{7};
+  uint64_t last_incarnation_ = 100;
+};
+
+constexpr Duration kSecond{1000};
+
+void Use(Fleet::Node* node, int worker, uint16_t in_use) {
+  node->in_use_[Workers(12)[static_cast<size_t>(worker)].address_] = in_use;
+  ++node->load_.task_starts_;
+}
+
+uint16_t Seen(const Fleet::Node& node, const Fleet::Node& peer, int worker) {
+  const Address address = Workers(12)[static_cast<size_t>(worker)].address_;
+  const auto found = node.peer_use_.find({peer.id_.incarnation_, address});
+  return found == node.peer_use_.end() ? 0 : found->second;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(membership)
+
+BOOST_AUTO_TEST_CASE(ListedPeersFindEachOtherAndReportSlots) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  auto& c = fleet.Add("brest");
+  fleet.ListAll();
+  fleet.Run(kSecond);
+  BOOST_TEST(Fleet::Sees(a, b));
+  BOOST_TEST(Fleet::Sees(a, c));
+  BOOST_TEST(b.counts_.count_ == 2U);
+  BOOST_TEST(b.counts_.own_rank_ == 1U);
+  BOOST_TEST(b.counts_.known_everywhere_ == 3U);
+  Use(&a, 3, 5);
+  fleet.Run(Duration{15});
+  BOOST_TEST(Seen(b, a, 3) == 5);
+  BOOST_TEST(c.reports_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(PartedDataCentresHealByThemselves) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  auto& c = fleet.Add("brest");
+  fleet.ListAll();
+  fleet.Run(kSecond);
+  const Address far = c.id_.peer_address_;
+  fleet.cut_ = [&](const Address& from, const Address& to) {
+    return (from == far) != (to == far);
+  };
+  fleet.Run(Duration{10 * 1000});
+  BOOST_TEST(!Fleet::Sees(a, c));
+  BOOST_TEST(!Fleet::Sees(c, a));
+  BOOST_TEST(Fleet::Sees(a, b));
+  BOOST_TEST(a.counts_.known_everywhere_ == 3U);
+  fleet.cut_ = nullptr;
+  fleet.Run(Duration{6 * 1000});
+  BOOST_TEST(Fleet::Sees(a, c));
+  BOOST_TEST(Fleet::Sees(c, a));
+}
+
+BOOST_AUTO_TEST_CASE(NewIncarnationReplacesAndTheOldOneStaysOut) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  fleet.ListAll();
+  fleet.Run(kSecond);
+  const Incarnation old = b.id_.incarnation_;
+  StateDatagram late;
+  late.head_ = {old, 1000000};
+  late.data_centre_ = "rennes";
+  fleet.Restart(&b);
+  fleet.Run(kSecond);
+  BOOST_TEST(Fleet::Sees(a, b));
+  BOOST_TEST(a.view_.size() == 1U);
+  BOOST_TEST((a.lost_ == std::vector<Incarnation>{old}));
+  PeerEvents events;
+  a.membership_->OnDatagram(b.id_.peer_address_, Encode(late), fleet.now_,
+                            &events);
+  BOOST_TEST(events.empty());
+  BOOST_TEST((a.membership_->peers()[0].id_ == b.id_));
+}
+
+BOOST_AUTO_TEST_CASE(LostReorderedAndRepeatedDatagramsConverge) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  fleet.ListAll();
+  fleet.Run(kSecond);
+  fleet.loss_ = 0.3;
+  fleet.duplicate_ = true;
+  fleet.shuffle_ = true;
+  std::mt19937 random(11);
+  for (int i = 0; i < 400; ++i) {
+    Use(&a, static_cast<int>(random() % 12),
+        static_cast<uint16_t>(random() % 9));
+    fleet.Run(config::kTickInterval);
+  }
+  // Refreshes repair what was lost after the last change.
+  fleet.Run(Duration{20 * 1000});
+  for (int worker = 0; worker < 12; ++worker) {
+    const Address address = Workers(12)[static_cast<size_t>(worker)].address_;
+    BOOST_TEST(Seen(b, a, worker) == a.in_use_[address]);
+  }
+  BOOST_TEST(b.membership_->stats().dropped_stale_ > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(PauseGivesPeersOneIntervalFirst) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  fleet.ListAll();
+  fleet.Run(kSecond);
+  a.runs_ = false;
+  fleet.Run(Duration{60 * 1000});
+  BOOST_TEST(!Fleet::Sees(b, a));
+  a.runs_ = true;
+  fleet.Run(Duration{3000});
+  BOOST_TEST(a.lost_.empty());
+  BOOST_TEST(Fleet::Sees(a, b));
+  BOOST_TEST(Fleet::Sees(b, a));
+  BOOST_TEST(a.membership_->stats().pauses_ == 1U);
+  // Without a pause the same silence does end the peer's place in the view.
+  b.runs_ = false;
+  fleet.Run(Duration{5000});
+  BOOST_TEST(!Fleet::Sees(a, b));
+}
+
+BOOST_AUTO_TEST_CASE(ListMayLagOrVanish) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  fleet.ListAll();
+  fleet.Run(kSecond);
+  a.membership_->SetList({}, fleet.now_);
+  fleet.Run(kSecond);
+  BOOST_TEST(a.counts_.known_everywhere_ == 2U);
+  // A list without a peer that still talks does not end its place.
+  a.membership_->SetList({{PeerAddress(9), "rennes", false}}, fleet.now_);
+  fleet.Run(Duration{5000});
+  BOOST_TEST(Fleet::Sees(a, b));
+  // A listed peer that never talks is not live, and is probed seldom.
+  fleet.sent_to_.clear();
+  fleet.Run(Duration{60 * 1000});
+  const auto probes =
+      std::count(fleet.sent_to_.begin(), fleet.sent_to_.end(), PeerAddress(9));
+  BOOST_TEST(probes >= 8);
+  BOOST_TEST(probes <= 14);
+  BOOST_TEST(a.view_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(UnknownAddressIsNeitherHeardNorAnswered) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  StateDatagram forged;
+  forged.head_ = {{99}, 1};
+  forged.data_centre_ = "rennes";
+  forged.wants_reply_ = true;
+  PeerEvents events;
+  a.membership_->OnDatagram({"10.9.9.9", 1}, Encode(forged), fleet.now_,
+                            &events);
+  fleet.Run(kSecond);
+  BOOST_TEST(events.empty());
+  BOOST_TEST(fleet.sent_to_.empty());
+  BOOST_TEST(a.membership_->stats().dropped_unknown_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RevisionDrainAndTeamUseReachEveryPeer) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  auto& c = fleet.Add("brest");
+  fleet.ListAll();
+  Settings settings;
+  settings.teams_.resize(2);
+  settings.teams_[1].name_ = "care/night";
+  for (auto* node : {&a, &b, &c}) {
+    node->membership_->SetSettings(settings);
+  }
+  fleet.Run(kSecond);
+  a.load_.revision_ = {7};
+  a.load_.draining_ = true;
+  a.load_.team_uses_ = {{{1}, 4, 2, 1.5}};
+  fleet.Run(Duration{20});
+  a.load_.team_uses_.clear();
+  BOOST_TEST(b.heard_revision_.value_ == 7U);
+  BOOST_TEST(c.heard_revision_.value_ == 7U);
+  BOOST_TEST((b.team_use_[{a.id_.incarnation_, 1}].running_ == 4U));
+  BOOST_TEST(b.view_[0].draining_);
+  fleet.Run(Duration{3000});
+  BOOST_TEST((c.team_use_[{a.id_.incarnation_, 1}].waiting_ == 2U));
+}
+
+BOOST_AUTO_TEST_CASE(QuietFleetSendsHeartbeatsAloneAndBusyKeepsBudget) {
+  Fleet fleet;
+  for (int i = 0; i < 8; ++i) fleet.Add(i < 4 ? "rennes" : "brest");
+  fleet.ListAll();
+  fleet.Run(kSecond);
+  auto& a = fleet[0];
+  const uint64_t before = a.membership_->stats().datagrams_sent_;
+  fleet.Run(Duration{10 * 1000});
+  const uint64_t quiet = a.membership_->stats().datagrams_sent_ - before;
+  BOOST_TEST(quiet >= 7 * 9U);
+  BOOST_TEST(quiet <= 7 * 11U);
+  const uint64_t bytes = a.membership_->stats().bytes_sent_;
+  std::mt19937 random(3);
+  for (int i = 0; i < 2000; ++i) {
+    for (size_t node = 0; node < 8; ++node) {
+      Use(&fleet[node], static_cast<int>(random() % 12),
+          static_cast<uint16_t>(random() % 9));
+    }
+    fleet.Run(config::kTickInterval);
+  }
+  const uint64_t busy = a.membership_->stats().bytes_sent_ - bytes;
+  BOOST_TEST(busy <= 11 * Membership::kSentBytesPerSecond);
+  BOOST_TEST(a.membership_->stats().load_reports_sent_ > 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace gentiandeal
