--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,183 @@
+#include "http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+
+#include <memory>
+#include <utility>
+
+namespace gentiandeal {
+namespace {
+
+evhttp_cmd_type ParseMethod(std::string_view method) {
+  constexpr std::pair<std::string_view, evhttp_cmd_type> kMethods[] = {
+      {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},
+      {"PUT", EVHTTP_REQ_PUT},         {"DELETE", EVHTTP_REQ_DELETE},
+      {"HEAD", EVHTTP_REQ_HEAD},       {"PATCH", EVHTTP_REQ_PATCH},
+      {"OPTIONS", EVHTTP_REQ_OPTIONS},
+  };
+  for (const auto& [name, type] : kMethods) {
+    if (name == method) return type;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+void FillRequest(const Address& to, const HttpRequest& from,
+                 evhttp_request* request) {
+  evkeyvalq* fields = evhttp_request_get_output_headers(request);
+  evhttp_add_header(fields, "Host", ToString(to).c_str());
+  for (const auto& [name, value] : from.fields_) {
+    evhttp_add_header(fields, name.c_str(), value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request), from.body_.data(),
+               from.body_.size());
+}
+
+HttpResponse ReadResponse(evhttp_request* request) {
+  HttpResponse response;
+  if (request == nullptr) return response;
+  response.status_ = evhttp_request_get_response_code(request);
+  response.whole_ = response.status_ != 0;
+  const evkeyvalq* fields = evhttp_request_get_input_headers(request);
+  for (const evkeyval* field = fields->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    response.fields_.emplace_back(field->key, field->value);
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(request);
+  response.body_.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, response.body_.data(), response.body_.size());
+  return response;
+}
+
+timeval ToTimeval(Duration duration) {
+  return {static_cast<time_t>(duration.ms_ / 1000),
+          static_cast<suseconds_t>(duration.ms_ % 1000 * 1000)};
+}
+
+bool MayReuse(const HttpResponse& response) {
+  const std::string connection = response.Field("Connection");
+  return response.whole_ && strcasecmp(connection.c_str(), "close") != 0;
+}
+
+}  // namespace
+
+std::string HttpResponse::Field(std::string_view name) const {
+  for (const auto& [key, value] : fields_) {
+    if (key.size() == name.size() &&
+        strncasecmp(key.data(), name.data(), name.size()) == 0) {
+      return value;
+    }
+  }
+  return {};
+}
+
+HttpClient::~HttpClient() {
+  while (!exchanges_.empty()) Cancel(exchanges_.begin()->first);
+  for (auto& [address, connections] : idle_) {
+    for (evhttp_connection* connection : connections) {
+      evhttp_connection_free(connection);
+    }
+  }
+  // Connections given to `FreeLater` are freed here at the latest.
+  event_base_loop(base_, EVLOOP_NONBLOCK);
+}
+
+evhttp_connection* HttpClient::Take(const Address& to) {
+  std::vector<evhttp_connection*>& idle = idle_[to];
+  if (!idle.empty()) {
+    evhttp_connection* connection = idle.back();
+    idle.pop_back();
+    return connection;
+  }
+  evhttp_connection* connection =
+      evhttp_connection_base_new(base_, nullptr, to.host_.c_str(), to.port_);
+  evhttp_connection_set_retries(connection, 0);
+  return connection;
+}
+
+HttpClient::ExchangeId HttpClient::Send(const Address& to,
+                                        const HttpRequest& request,
+                                        Duration timeout, Done done) {
+  const ExchangeId id = next_id_++;
+  Exchange& exchange = exchanges_[id];
+  exchange = {this, id, to, Take(to), nullptr, std::move(done)};
+  exchange.request_ = evhttp_request_new(&HttpClient::OnDone, &exchange);
+  FillRequest(to, request, exchange.request_);
+  const timeval wait = ToTimeval(timeout);
+  evhttp_connection_set_timeout_tv(exchange.connection_, &wait);
+  if (evhttp_make_request(exchange.connection_, exchange.request_,
+                          ParseMethod(request.method_),
+                          request.path_.c_str()) != 0) {
+    exchange.request_ = nullptr;
+    FailLater(id);
+  }
+  return id;
+}
+
+/// libevent does not call back for a connect that fails at once.
+void HttpClient::FailLater(ExchangeId id) {
+  using Failure = std::pair<HttpClient*, ExchangeId>;
+  const auto fail = [](evutil_socket_t /*fd*/, int16_t /*what*/, void* arg) {
+    const std::unique_ptr<Failure> failure(static_cast<Failure*>(arg));
+    const auto& [client, failed] = *failure;
+    const auto found = client->exchanges_.find(failed);
+    if (found != client->exchanges_.end()) OnDone(nullptr, &found->second);
+  };
+  const timeval at_once{0, 0};
+  event_base_once(base_, -1, EV_TIMEOUT, fail, new Failure(this, id), &at_once);
+}
+
+void HttpClient::OnDone(evhttp_request* request, void* arg) {
+  auto* exchange = static_cast<Exchange*>(arg);
+  HttpClient* self = exchange->client_;
+  const HttpResponse response = ReadResponse(request);
+  if (MayReuse(response)) {
+    self->idle_[exchange->to_].push_back(exchange->connection_);
+  } else {
+    self->FreeLater(exchange->connection_);
+  }
+  const Done done = std::move(exchange->done_);
+  self->exchanges_.erase(exchange->id_);
+  done(response);
+}
+
+void HttpClient::Cancel(ExchangeId id) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) return;
+  if (found->second.request_ != nullptr) {
+    evhttp_cancel_request(found->second.request_);
+  }
+  FreeLater(found->second.connection_);
+  exchanges_.erase(found);
+}
+
+/// libevent still uses a connection while it calls back, so that it can't be
+/// freed at once.
+void HttpClient::FreeLater(evhttp_connection* connection) {
+  const auto free_now = [](evutil_socket_t /*fd*/, int16_t /*what*/,
+                           void* arg) {
+    evhttp_connection_free(static_cast<evhttp_connection*>(arg));
+  };
+  const timeval at_once{0, 0};
+  event_base_once(base_, -1, EV_TIMEOUT, free_now, connection, &at_once);
+}
+
+HttpResponse Fetch(const Address& to, const HttpRequest& request,
+                   Duration timeout) {
+  event_base* base = event_base_new();
+  HttpResponse answer;
+  {
+    HttpClient client(base);
+    client.Send(to, request, timeout, [&](const HttpResponse& response) {
+      answer = response;
+      event_base_loopbreak(base);
+    });
+    event_base_dispatch(base);
+  }
+  event_base_free(base);
+  return answer;
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/http_client.h
@@ -0,0 +1,88 @@
+#ifndef GENTIANDEAL_SRC_HTTP_CLIENT_H_
+#define GENTIANDEAL_SRC_HTTP_CLIENT_H_
+
+#include <event2/event.h>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gentiandeal/gentiandeal.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+
+/// HTTP client of the operators' commands. The way of tasks does not use it.
+namespace gentiandeal {
+
+struct HttpRequest {
+  std::string method_ = "GET";
+  std::string path_ = "/";
+  std::vector<HttpField> fields_;
+  std::string body_;
+};
+
+struct HttpResponse {
+  bool whole_ = false;  ///< False when the connection failed or timed out.
+  int status_ = 0;
+  std::vector<HttpField> fields_;
+  std::string body_;
+
+  /// @returns the value of a field, empty when it is absent.
+  std::string Field(std::string_view name) const;
+};
+
+/// Sends requests on connections that are kept alive. One request is open on
+/// a connection at a time, and none is ever sent twice.
+class HttpClient {
+ public:
+  using Done = std::function<void(const HttpResponse&)>;
+  using ExchangeId = uint64_t;
+
+  /// @param base Event loop; must outlive the client.
+  explicit HttpClient(event_base* base) : base_(base) {}
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// @param timeout Longest wait for the answer to start or go on.
+  /// @param done Called once from the loop, unless cancelled before.
+  ExchangeId Send(const Address& to, const HttpRequest& request,
+                  Duration timeout, Done done);
+
+  /// Closes the connection of an open exchange; its `done` is not called.
+  void Cancel(ExchangeId id);
+
+  size_t open() const { return exchanges_.size(); }
+
+ private:
+  struct Exchange {
+    HttpClient* client_ = nullptr;
+    ExchangeId id_ = 0;
+    Address to_;
+    evhttp_connection* connection_ = nullptr;
+    evhttp_request* request_ = nullptr;
+    Done done_;
+  };
+
+  static void OnDone(evhttp_request* request, void* arg);
+  evhttp_connection* Take(const Address& to);
+  void FailLater(ExchangeId id);
+  void FreeLater(evhttp_connection* connection);
+
+  event_base* base_;
+  ExchangeId next_id_ = 1;
+  std::map<ExchangeId, Exchange> exchanges_;
+  std::map<Address, std::vector<evhttp_connection*>> idle_;
+};
+
+/// Sends one request and waits for its answer on a loop of its own.
+HttpResponse Fetch(const Address& to, const HttpRequest& request,
+                   Duration timeout);
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_HTTP_CLIENT_H_
--- /dev/null
+++ b/tests/process/main_test.cc
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE process
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/tests/process/standins_test.cc
@@ -0,0 +1,72 @@
+#include <boost/test/unit_test.hpp>
+
+#include "harness.h"
+#include "standins/answer_bytes.h"
+
+namespace gentiandeal::process {
+
+BOOST_AUTO_TEST_SUITE(standins)
+
+BOOST_AUTO_TEST_CASE(WorkerKeepsItsSlotsAndItsOrder) {
+  constexpr int kSlots = 2;
+  constexpr int kTasks = 6;
+  const Folder folder;
+  Workers workers(folder, 1, kSlots);
+  const Address address = workers.addresses().front();
+  Caller caller;
+  for (int i = 0; i < kTasks; ++i) {
+    const std::string path = "/t?ms=20&bytes=9&n=" + std::to_string(i);
+    caller.Send(address, {"POST", path, {{"Gentiandeal-Task", "a"}}, "x"});
+    BOOST_TEST(caller.RunUntil([&] {
+      const auto stats = Fetch(workers.process().At("control"),
+                               {"GET", "/standin/stats", {}, ""}, kPatience);
+      const auto worker = nlohmann::json::parse(stats.body_).at(0);
+      const int arrived =
+          worker.at("started").get<int>() + worker.at("waiting").get<int>();
+      return arrived == i + 1;
+    }));
+  }
+  BOOST_TEST(caller.WaitAll());
+  const auto starts = workers.starts();
+  BOOST_REQUIRE_EQUAL(starts.size(), kTasks);
+  for (int i = 0; i < kTasks; ++i) {
+    BOOST_TEST(caller.Answer(i).body_ ==
+               standin::AnswerBytes("POST", starts[i].path_, "x", 9));
+    BOOST_TEST(caller.Answer(i).Field("Gentiandeal-Task") == "a");
+  }
+  const auto stats = Fetch(workers.process().At("control"),
+                           {"GET", "/standin/stats", {}, ""}, kPatience);
+  BOOST_TEST(nlohmann::json::parse(stats.body_)[0]["most_running"] == kSlots);
+}
+
+BOOST_AUTO_TEST_CASE(WorkerFaultsAreSeenByTheCallerAndTheLog) {
+  struct Case {
+    const char* faults_;
+    bool whole_;
+    int status_;
+    bool started_;
+  };
+  const Folder folder;
+  Workers workers(folder, 1);
+  const Address address = workers.addresses().front();
+  for (const Case& c :
+       {Case{"fail_ms=1", true, 500, true}, Case{"refuse=1", true, 503, false},
+        Case{"reset_before=1", false, 0, false},
+        Case{"reset_after_start=1", false, 0, true},
+        Case{"cut_answer=1", false, 0, true}, Case{"closed=1", false, 0, false},
+        Case{"", true, 200, true}}) {
+    workers.SetFaults(0, c.faults_);
+    const std::string path = std::string("/f?bytes=8&") + c.faults_;
+    const HttpResponse answer =
+        Fetch(address, {"GET", path, {}, ""}, kPatience);
+    BOOST_TEST_CONTEXT(c.faults_) {
+      BOOST_TEST(answer.whole_ == c.whole_);
+      BOOST_TEST(answer.status_ == c.status_);
+      BOOST_TEST(workers.StartsOf(path) == (c.started_ ? 1 : 0));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace gentiandeal::process
