Serve: the whole path from a caller's job to its whole answer

Cause: the parts had no process around them. Change: entry instance with one event loop, mailbox between sockets and the dispatcher, drain on SIGTERM, status document and metrics; the target of a request is taken from its own head, since the HTTP library reads form bodies as queries (a job posted as a form was refused: 400 before, 200 after).

--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -10,7 +10,7 @@
 #include "caller_request.h"
 #include "guarded_connection.h"
 #include "job_json.h"
-#include "socket_util.h"
+#include "socket_address.h"
 
 namespace gentiandeal {
 namespace {
@@ -28,18 +28,6 @@
   return fields;
 }
 
-std::string FullPath(const evhtp_request_t* request) {
-  const evhtp_uri_t* uri = request->uri;
-  std::string path = uri->path != nullptr && uri->path->full != nullptr
-                         ? uri->path->full
-                         : "/";
-  if (uri->query_raw != nullptr) {
-    path += '?';
-    path += reinterpret_cast<const char*>(uri->query_raw);
-  }
-  return path;
-}
-
 std::string TakeBody(evbuffer* buffer) {
   std::string body(evbuffer_get_length(buffer), '\0');
   evbuffer_remove(buffer, body.data(), body.size());
@@ -68,6 +56,7 @@
       : base_(base), events_(std::move(events)), htp_(evhtp_new(base, this)) {
     evhtp_set_gencb(htp_, &OnRequest, this);
     evhtp_set_post_accept_cb(htp_, &OnAccept, this);
+    evhtp_set_parser_flags(htp_, EVHTP_PARSE_QUERY_FLAG_LENIENT);
     // The guards refuse earlier, with an answer.
     evhtp_set_max_body_size(htp_, 2 * config::kMaxBodyBytes);
     sweep_ = event_new(base, -1, EV_PERSIST, &OnSweep, this);
@@ -90,8 +79,7 @@
     if (evhtp_bind_socket(htp_, host.c_str(), address.port_, kBacklog) != 0) {
       return {errno, std::generic_category()};
     }
-    address_ = BoundAddress(evconnlistener_get_fd(htp_->server));
-    return {};
+    return LocalAddress(evconnlistener_get_fd(htp_->server), &address_);
   }
 
   void StopListening() { evconnlistener_disable(htp_->server); }
@@ -181,11 +169,12 @@
 
   static void OnRequest(evhtp_request_t* request, void* arg) {
     auto* self = static_cast<Impl*>(arg);
-    self->Find(request->conn)->OnRequest();
+    GuardedConnection* connection = self->Find(request->conn);
+    connection->OnRequest();
     ++self->stats_.requests_;
     CallerRequest read;
     read.method_ = htparser_get_methodstr_m(request->method);
-    read.path_ = FullPath(request);
+    read.path_ = connection->target();
     read.fields_ = CopyFields(request->headers_in);
     read.body_ = TakeBody(request->buffer_in);
     self->Route(request, std::move(read));
--- /dev/null
+++ b/src/entry_instance.cc
@@ -0,0 +1,258 @@
+#include <event2/event.h>
+#include <spdlog/spdlog.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <deque>
+#include <random>
+
+#include "caller_server.h"
+#include "dispatcher.h"
+#include "event_base.h"
+#include "gentiandeal_p.h"
+#include "status.h"
+#include "worker_client.h"
+
+namespace gentiandeal {
+namespace {
+
+using Message = std::variant<Submit, CallerGone, CancelSubmission, AttemptEnded,
+                             ForwardEnded, WorkersListed, PeerLoad,
+                             PeersChanged, SettingsChanged, DrainRequested>;
+
+constexpr timeval kTick{0, config::kTickInterval.ms_ * 1000};
+
+uint64_t RandomWord() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+Incarnation NewIncarnation() {
+  Incarnation incarnation;
+  while (!incarnation.valid()) incarnation.value_ = RandomWord();
+  return incarnation;
+}
+
+std::array<uint8_t, 32> NewSecret() {
+  std::random_device device;
+  std::array<uint8_t, 32> secret;
+  for (uint8_t& byte : secret) byte = static_cast<uint8_t>(device());
+  return secret;
+}
+
+std::shared_ptr<const Settings> DefaultSettings() {
+  auto settings = std::make_shared<Settings>();
+  settings->teams_.emplace_back();
+  return settings;
+}
+
+}  // namespace
+
+/// Owns the event loop and the tasks on it, and carries messages between them
+/// and the decision logic.
+class EntryInstance::Impl {
+ public:
+  explicit Impl(const Init& init)
+      : init_(init),
+        base_(event_base_new()),
+        callers_(base_.get(), MakeCallerEvents()),
+        workers_(base_.get(),
+                 [this](AttemptEnded ended) { Post(std::move(ended)); }),
+        settings_(DefaultSettings()) {
+    drain_fd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    drain_event_ = event_new(base_.get(), drain_fd_, EV_READ, &OnDrain, this);
+    tick_event_ = event_new(base_.get(), -1, EV_PERSIST, &OnTick, this);
+    event_add(drain_event_, nullptr);
+  }
+
+  ~Impl() {
+    event_free(drain_event_);
+    event_free(tick_event_);
+    close(drain_fd_);
+  }
+
+  std::error_code Start() {
+    if (const auto error = callers_.Listen(init_.callers_)) return error;
+    self_ = {init_.data_centre_, init_.peers_, NewIncarnation()};
+    const uint64_t seed = init_.seed_ != 0 ? init_.seed_ : RandomWord();
+    dispatcher_.emplace(self_, NewSecret(), seed);
+    Post(SettingsChanged{settings_});
+    Post(SeedWorkers());
+    event_add(tick_event_, &kTick);
+    return {};
+  }
+
+  void Run() { event_base_dispatch(base_.get()); }
+
+  void Drain() {
+    const uint64_t one = 1;
+    // Only a full counter can fail, and then a drain is already asked for.
+    [[maybe_unused]] const ssize_t written =
+        write(drain_fd_, &one, sizeof(one));
+  }
+
+  Address callers() const { return callers_.address(); }
+  Address peers() const { return self_.peer_address_; }
+  Stats GetStats() const { return dispatcher_->stats(); }
+
+ private:
+  CallerEvents MakeCallerEvents() {
+    CallerEvents events;
+    events.submit_ = [this](Submit submit) { Post(std::move(submit)); };
+    events.cancel_ = [this](const CancelSubmission& cancel) { Post(cancel); };
+    events.caller_gone_ = [this](const CallerGone& gone) { Post(gone); };
+    events.issue_client_ = [this] {
+      return dispatcher_->IssueClient(clock_.Now());
+    };
+    events.status_json_ = [this] { return StatusJson(View()); };
+    events.settings_json_ = [] { return std::string("{}"); };
+    events.metrics_text_ = [this] { return MetricsText(View()); };
+    events.ready_ = [this] { return ready(); };
+    events.draining_ = [this] { return draining_; };
+    return events;
+  }
+
+  InstanceView View() const {
+    InstanceView view;
+    view.self_ = &self_;
+    view.dispatcher_ = &*dispatcher_;
+    view.callers_ = &callers_.stats();
+    view.peers_ = &peer_views_;
+    view.settings_ = settings_.get();
+    view.worker_connections_ = workers_.connections();
+    view.ready_ = ready();
+    view.draining_ = draining_;
+    return view;
+  }
+
+  bool ready() const { return !draining_; }
+
+  WorkersListed SeedWorkers() const {
+    WorkersListed listed;
+    for (const Address& address : init_.seed_workers_) {
+      WorkerInfo worker;
+      worker.address_ = address;
+      worker.data_centre_ = init_.data_centre_;
+      listed.workers_.push_back(std::move(worker));
+    }
+    return listed;
+  }
+
+  // Messages that arrive while others are handled wait their turn.
+  void Post(Message message) {
+    mailbox_.push_back(std::move(message));
+    if (!pumping_) Pump();
+  }
+
+  void Pump() {
+    pumping_ = true;
+    while (!mailbox_.empty()) {
+      const Message message = std::move(mailbox_.front());
+      mailbox_.pop_front();
+      std::visit(
+          [this](const auto& one) {
+            dispatcher_->On(one, clock_.Now(), &outbox_);
+          },
+          message);
+      CarryOut();
+    }
+    pumping_ = false;
+  }
+
+  void CarryOut() {
+    Outbox commands;
+    commands.swap(outbox_);
+    for (const Command& command : commands) {
+      std::visit([this](const auto& one) { Do(one); }, command);
+    }
+  }
+
+  void Do(const SendAnswer& command) {
+    callers_.Answer(command.request_, *command.answer_);
+  }
+  void Do(const StartTask& command) { workers_.Start(command); }
+  void Do(const AbandonAttempt& command) { workers_.Abandon(command.attempt_); }
+  void Do(const ForwardSubmission& command) {
+    ForwardEnded ended;
+    ended.forward_ = command.forward_;
+    ended.handed_over_ = false;
+    mailbox_.push_back(std::move(ended));
+  }
+  void Do(const AbandonForward&) {}
+
+  static void OnTick(int, short, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    const Time now = self->clock_.Now();
+    self->pumping_ = true;
+    self->dispatcher_->Tick(now, &self->outbox_);
+    self->CarryOut();
+    self->Pump();
+    if (self->draining_) self->ContinueDrain(now);
+  }
+
+  static void OnDrain(int, short, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    if (self->draining_) return;
+    self->draining_ = true;
+    self->drain_began_ = self->clock_.Now();
+    spdlog::info("draining: linger_ms={} limit_ms={}",
+                 self->init_.drain_linger_.ms_, self->init_.drain_limit_.ms_);
+    self->Post(DrainRequested{});
+  }
+
+  void ContinueDrain(Time now) {
+    const Duration elapsed = now - drain_began_;
+    if (elapsed >= init_.drain_limit_ && !cut_) {
+      cut_ = true;
+      dispatcher_->CutAll(now, &outbox_);
+      CarryOut();
+    }
+    if (elapsed < init_.drain_linger_) return;
+    if (!stopped_) {
+      stopped_ = true;
+      callers_.StopListening();
+    }
+    const bool answered =
+        dispatcher_->load().idle_ && callers_.stats().waiting_now_ == 0;
+    if (!answered && !cut_) return;
+    // One more tick lets the last answers leave the buffers.
+    if (done_) {
+      event_base_loopexit(base_.get(), nullptr);
+    }
+    done_ = true;
+  }
+
+  Init init_;
+  MonotonicClock clock_;
+  EventBase base_;
+  CallerServer callers_;
+  WorkerClient workers_;
+  std::shared_ptr<const Settings> settings_;
+  InstanceId self_;
+  std::optional<Dispatcher> dispatcher_;
+  std::vector<PeerView> peer_views_;
+  std::deque<Message> mailbox_;
+  Outbox outbox_;
+  bool pumping_ = false;
+  int drain_fd_ = -1;
+  event* drain_event_ = nullptr;
+  event* tick_event_ = nullptr;
+  bool draining_ = false;
+  bool stopped_ = false;
+  bool cut_ = false;
+  bool done_ = false;
+  Time drain_began_;
+};
+
+EntryInstance::EntryInstance(const Init& init)
+    : impl_(std::make_unique<Impl>(init)) {}
+EntryInstance::~EntryInstance() = default;
+
+std::error_code EntryInstance::Start() { return impl_->Start(); }
+void EntryInstance::Run() { impl_->Run(); }
+void EntryInstance::Drain() { impl_->Drain(); }
+Address EntryInstance::callers() const { return impl_->callers(); }
+Address EntryInstance::peers() const { return impl_->peers(); }
+Stats EntryInstance::GetStats() const { return impl_->GetStats(); }
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/event_base.h
@@ -0,0 +1,20 @@
+#ifndef GENTIANDEAL_SRC_EVENT_BASE_H_
+#define GENTIANDEAL_SRC_EVENT_BASE_H_
+
+#include <event2/event.h>
+
+#include <memory>
+
+namespace gentiandeal {
+
+/// Frees an event loop.
+struct EventBaseDeleter {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+
+/// Owns an event loop.
+using EventBase = std::unique_ptr<event_base, EventBaseDeleter>;
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_EVENT_BASE_H_
--- a/src/guarded_connection.cc
+++ b/src/guarded_connection.cc
@@ -167,13 +167,14 @@
   }
   const auto* bytes = reinterpret_cast<const char*>(
       evbuffer_pullup(from, static_cast<ev_ssize_t>(size)));
-  const HeadCheck check = CheckHead({bytes, size});
+  HeadCheck check = CheckHead({bytes, size});
   if (check.state_ == HeadCheck::State::kBad) {
     Refuse(check.status_, check.error_, check.detail_);
     return false;
   }
   if (check.state_ == HeadCheck::State::kIncomplete) return false;
   phase_ = Phase::kBody;
+  target_ = std::move(check.target_);
   chunked_ = check.chunked_;
   left_ = check.head_bytes_ + check.body_bytes_;
   body_read_ = 0;
--- a/src/guarded_connection.h
+++ b/src/guarded_connection.h
@@ -22,6 +22,10 @@
   /// The library has handed over a whole request.
   void OnRequest();
 
+  /// Target of the present request as it was sent. The library's own form may
+  /// hold parts of a form body.
+  const std::string& target() const { return target_; }
+
   /// Whether the answer to the present request must be the last one.
   bool must_close() const { return chunked_; }
 
@@ -68,6 +72,7 @@
   bufferevent* socket_;
   event* close_event_;
   MonotonicClock clock_;
+  std::string target_;
   Phase phase_ = Phase::kHead;
   bool reading_ = false;  // some bytes of the present request have arrived
   bool chunked_ = false;
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,1 +1,63 @@
-int main() { return 0; }
+#include <cstdio>
+#include <string_view>
+
+#include "commands.h"
+#include "version.h"
+
+namespace gentiandeal {
+namespace {
+
+struct Subcommand {
+  std::string_view name_;
+  std::string_view help_;
+  int (*run_)(const Words& words);
+};
+
+constexpr Subcommand kSubcommands[] = {
+    {"serve", "run an entry instance", &RunServe},
+};
+
+constexpr char kHead[] =
+    "Usage: gentiandeal SUBCOMMAND [OPTIONS]\n"
+    "       gentiandeal SUBCOMMAND --help\n"
+    "       gentiandeal --version\n\n"
+    "Subcommands:\n";
+constexpr char kExitCodes[] =
+    "\nExit codes: 0 done; 1 failed or not run; 2 command line not valid; "
+    "3 instance or\nplatform can't be reached; 4 may have run; 5 changed by "
+    "another operator.\n";
+
+int PrintHelp(std::FILE* out, int code) {
+  std::fputs(kHead, out);
+  for (const Subcommand& subcommand : kSubcommands) {
+    std::fprintf(out, "  %-10s%s\n", subcommand.name_.data(),
+                 subcommand.help_.data());
+  }
+  std::fputs(kExitCodes, out);
+  return code;
+}
+
+int Run(const Words& words) {
+  if (words.empty()) return PrintHelp(stderr, kExitUsage);
+  if (words[0] == "--help" || words[0] == "-h") {
+    return PrintHelp(stdout, kExitOk);
+  }
+  if (words[0] == "--version") {
+    std::printf("gentiandeal %s\n", kVersion);
+    return kExitOk;
+  }
+  for (const Subcommand& subcommand : kSubcommands) {
+    if (subcommand.name_ != words[0]) continue;
+    return subcommand.run_(Words(words.begin() + 1, words.end()));
+  }
+  std::fprintf(stderr, "gentiandeal: unknown subcommand '%s'\n",
+               words[0].c_str());
+  return PrintHelp(stderr, kExitUsage);
+}
+
+}  // namespace
+}  // namespace gentiandeal
+
+int main(int argc, char** argv) {
+  return gentiandeal::Run(gentiandeal::Words(argv + 1, argv + argc));
+}
--- a/src/request_guard.cc
+++ b/src/request_guard.cc
@@ -65,6 +65,7 @@
   if (target[0] != '/' || HasControlByte(target)) {
     return Bad(400, "target must start with '/' and hold no control character");
   }
+  good.target_ = target;
   *http11 = line == "HTTP/1.1";
   if (!*http11 && line != "HTTP/1.0") {
     return Bad(505, "version must be HTTP/1.1 or HTTP/1.0");
--- a/src/request_guard.h
+++ b/src/request_guard.h
@@ -12,6 +12,7 @@
 struct HeadCheck {
   enum class State : uint8_t { kIncomplete, kGood, kBad };
   State state_ = State::kIncomplete;
+  std::string target_;       ///< Path and query, as sent.
   size_t head_bytes_ = 0;    ///< Up to and including the empty line.
   uint64_t body_bytes_ = 0;  ///< From Content-Length.
   bool chunked_ = false;
--- a/src/status.cc
+++ b/src/status.cc
@@ -129,9 +129,10 @@
   json["worker_connections"] = view.worker_connections_;
   json["workers"] = WorkersJson(view.dispatcher_->workers());
   json["peers"] = PeersJson(*view.peers_);
+  const Stats counters = view.dispatcher_->stats();
   Json& stats = json["stats"] = Json::object();
   for (const StatField& field : kStatFields) {
-    stats[field.name_] = view.dispatcher_->stats().*field.value_;
+    stats[field.name_] = counters.*field.value_;
   }
   stats["requests"] = view.callers_->requests_;
   stats["refused_malformed"] = view.callers_->refused_malformed_;
@@ -141,7 +142,7 @@
 
 std::string MetricsText(const InstanceView& view) {
   std::vector<prometheus::MetricFamily> families;
-  const Stats& stats = view.dispatcher_->stats();
+  const Stats stats = view.dispatcher_->stats();
   for (const StatField& field : kStatFields) {
     families.push_back(MakeFamily(field.name_, field.help_, stats.*field.value_,
                                   field.gauge_));
--- a/tests/unit/caller_server_test.cc
+++ b/tests/unit/caller_server_test.cc
@@ -105,6 +105,18 @@
   BOOST_TEST(submits_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(FormBodyStaysABody) {
+  const std::string body = "a=1&&=%zz&%;{\"b\":2}";
+  TestSocket caller(server_.address());
+  caller.Send(
+      "POST /form?x=1 HTTP/1.1\r\nHost: a\r\nContent-Type: "
+      "application/x-www-form-urlencoded\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+  BOOST_REQUIRE(WaitForSubmits(1));
+  BOOST_TEST(submits_[0].job_.tasks_[0].path_ == "/form?x=1");
+  BOOST_TEST(submits_[0].job_.tasks_[0].body_ == body);
+}
+
 BOOST_AUTO_TEST_CASE(RefusedBodyIsAnAnswerNotAReset) {
   TestSocket caller(server_.address());
   caller.Send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\n");
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -10,7 +10,8 @@
 #include <functional>
 #include <string>
 
-#include "socket_util.h"
+#include "event_base.h"
+#include "socket_address.h"
 
 /// Plain sockets for tests, beside an event loop on the same thread.
 namespace gentiandeal {
@@ -103,7 +104,7 @@
     const sockaddr_in any = ToSockaddr({"127.0.0.1", 0});
     bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof(any));
     listen(fd_, 16);
-    address_ = BoundAddress(fd_);
+    LocalAddress(fd_, &address_);
   }
   ~TestListener() { Close(); }
   TestListener(const TestListener&) = delete;
