--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -176,7 +176,7 @@
     ForwardEnded ended;
     ended.forward_ = command.forward_;
     ended.handed_over_ = false;
-    mailbox_.push_back(std::move(ended));
+    mailbox_.emplace_back(std::move(ended));
   }
   void Do(const AbandonForward&) {}
 
--- a/src/guarded_connection.cc
+++ b/src/guarded_connection.cc
@@ -56,8 +56,7 @@
 }  // namespace
 
 GuardedConnection::GuardedConnection(event_base* base, evhtp_connection_t* conn)
-    : conn_(conn),
-      socket_(conn->bev),
+    : socket_(conn->bev),
       close_event_(event_new(base, -1, 0, &OnClose, conn)),
       since_(clock_.Now()) {
   bufferevent_data_cb read = nullptr;
--- a/src/guarded_connection.h
+++ b/src/guarded_connection.h
@@ -68,7 +68,6 @@
   size_t PassOn(evbuffer* from, evbuffer* to);
   void CloseWhenSent();
 
-  evhtp_connection_t* conn_;
   bufferevent* socket_;
   event* close_event_;
   MonotonicClock clock_;
