--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -245,11 +245,15 @@
 std::string ToIni(const BootFile& boot) {
   std::ostringstream text;
   text << "[instance]\ndata_centre = " << boot.data_centre_
-       << "\nregion = " << boot.region_ << "\nservice = " << boot.service_
+       << "\nregion = " << boot.region_
        << "\ncallers = " << ToString(boot.callers_)
        << "\npeers = " << ToString(boot.peers_) << "\n";
+  text << "[platform]\nservice = " << boot.service_ << "\n";
   if (boot.platform_.port_ != 0) {
-    text << "[platform]\naddress = " << ToString(boot.platform_) << "\n";
+    text << "address = " << ToString(boot.platform_) << "\n";
+  }
+  if (!boot.settings_file_.empty()) {
+    text << "settings = " << boot.settings_file_ << "\n";
   }
   text << "[seeds]\n";
   if (!boot.seed_workers_.empty()) {
@@ -260,9 +264,6 @@
   }
   text << "[drain]\nlinger = " << boot.linger_ << "\nlimit = " << boot.limit_
        << "\n";
-  if (!boot.settings_file_.empty()) {
-    text << "[settings]\nfile = " << boot.settings_file_ << "\n";
-  }
   return text.str();
 }
 
@@ -299,6 +300,25 @@
   return count;
 }
 
+size_t Proxy::Add(const Address& target, Address* address) {
+  const HttpResponse response =
+      Fetch(process_.At("control"),
+            {"PUT", "/pairs?target=" + ToString(target), {}, ""}, kPatience);
+  BOOST_REQUIRE_EQUAL(response.status_, 200);
+  const auto answer = nlohmann::json::parse(response.body_);
+  BOOST_REQUIRE(
+      !ParseAddress(answer.at("address").get<std::string>(), address));
+  return answer.at("pair").get<size_t>();
+}
+
+void Proxy::SetFaults(size_t pair, const std::string& faults) {
+  std::string path = "/faults?pair=" + std::to_string(pair);
+  if (!faults.empty()) path += "&" + faults;
+  const HttpResponse response =
+      Fetch(process_.At("control"), {"PUT", path, {}, ""}, kPatience);
+  BOOST_REQUIRE_EQUAL(response.status_, 200);
+}
+
 Instance::Instance(const Folder& folder, const BootFile& boot)
     : process_("gentiandeal",
                {"serve", "--boot",
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -125,10 +125,10 @@
 struct BootFile {
   std::string data_centre_ = "rennes";
   std::string region_ = "bretagne";
-  std::string service_ = "dossier";
   Address callers_{"127.0.0.1", 0};
   Address peers_{"127.0.0.1", 0};
   Address platform_;
+  std::string service_ = "dossier";
   std::vector<Address> seed_workers_;
   std::vector<Address> seed_peers_;
   std::string linger_ = "200ms";
@@ -163,6 +163,20 @@
   Process process_;
 };
 
+/// Links through one fault-injecting proxy.
+class Proxy {
+ public:
+  Proxy() : process_("standin_proxy", {"--exit-on-eof"}) {}
+  /// Adds a pair. @param address Set to the address that stands for `target`.
+  /// @returns the index of the pair.
+  size_t Add(const Address& target, Address* address);
+  /// @param faults Query such as `mode=cut`; empty passes everything.
+  void SetFaults(size_t pair, const std::string& faults);
+
+ private:
+  Process process_;
+};
+
 /// One entry instance.
 class Instance {
  public:
--- a/tests/process/standins_test.cc
+++ b/tests/process/standins_test.cc
@@ -67,6 +67,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ProxyCutsHoldsAndPassesConnections) {
+  const Folder folder;
+  Workers workers(folder, 1);
+  Proxy proxy;
+  Address address;
+  const size_t pair = proxy.Add(workers.addresses().front(), &address);
+  const auto fetch = [&](const std::string& path) {
+    return Fetch(address, {"GET", path, {}, ""}, Duration{500});
+  };
+  BOOST_TEST(fetch("/pass?bytes=100000").body_.size() == 100000);
+  proxy.SetFaults(pair, "delay_ms=30");
+  const Time before = MonotonicClock().Now();
+  BOOST_TEST(fetch("/delay?bytes=8").whole_);
+  BOOST_TEST((MonotonicClock().Now() - before).ms_ >= 60);
+  proxy.SetFaults(pair, "reset_up=10");
+  BOOST_TEST(!fetch("/up?bytes=8").whole_);
+  BOOST_TEST(workers.StartsOf("/up?bytes=8") == 0);
+  proxy.SetFaults(pair, "reset_down=60");
+  BOOST_TEST(!fetch("/down?bytes=100").whole_);
+  BOOST_TEST(workers.StartsOf("/down?bytes=100") == 1);
+  proxy.SetFaults(pair, "mode=cut");
+  BOOST_TEST(!fetch("/cut").whole_);
+  proxy.SetFaults(pair, "mode=blackhole");
+  BOOST_TEST(!fetch("/held").whole_);
+  proxy.SetFaults(pair, "");
+  BOOST_TEST(fetch("/again").whole_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace gentiandeal::process
