--- a/src/gentiandeal_p.h
+++ b/src/gentiandeal_p.h
@@ -37,6 +37,7 @@
 struct Id {
   Rep value_ = kInvalidValue;
   constexpr bool valid() const { return value_ != kInvalidValue; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`.
   friend constexpr auto operator<=>(Id, Id) = default;
 };
 
@@ -220,6 +221,9 @@
 /// Peers currently believed alive, complete.
 struct PeersChanged {
   std::vector<PeerView> peers_;
+  /// Live or listed instances everywhere, this one included. A partition
+  /// does not change it.
+  uint32_t known_instances_ = 1;
 };
 
 struct Settings;
