--- a/src/membership.cc
+++ b/src/membership.cc
@@ -107,8 +107,8 @@
     // Peers of this data centre first, in case the list exceeds the limit.
     for (const bool own : {true, false}) {
       for (const PeerInfo& info : list) {
-        if ((info.data_centre_ == self_.data_centre_) == own)
-          AddListed(info, now);
+        const bool is_own = info.data_centre_ == self_.data_centre_;
+        if (is_own == own) AddListed(info, now);
       }
     }
     view_changed_ = true;
@@ -159,7 +159,7 @@
   void Tick(Time now, const OwnLoad& load, const WorkerUse& in_use,
             PeerEvents* out) {
     NoticePause(now);
-    Refill(now);
+    Refill();
     TakeUses(load, now);
     NoticeOwnChanges(load, now);
     load_ = load;
@@ -356,7 +356,7 @@
     last_tick_ = now;
   }
 
-  void Refill(Time /*now*/) {
+  void Refill() {
     const double per_ms = budget_ / 1000;
     const double most =
         std::max(per_ms * static_cast<double>(kBurst.ms_), round_bytes_);
@@ -490,12 +490,15 @@
         std::min(Duration{peer->probe_interval_.ms_ * 2}, kSlowProbe);
   }
 
+  bool RefreshDue(Time now) const {
+    return refreshes_left_ > 0 && now - last_full_ >= kRefreshInterval;
+  }
+
   /// Whether anything differs from the last report, as far as it shows
   /// without asking for each worker.
-  bool ReportDue(Time now, size_t receivers) {
+  bool ReportDue(Time now, size_t receivers) const {
     if (receivers == 0) return false;
-    if (refreshes_left_ > 0 && now - last_full_ >= kRefreshInterval)
-      return true;
+    if (RefreshDue(now)) return true;
     if (someone_needs_full_ || uses_pending_) return true;
     return load_.running_tasks_ != reported_running_ ||
            load_.task_starts_ != reported_starts_ ||
@@ -514,8 +517,7 @@
     for (size_t i = 0; i < report_.size(); ++i) {
       report_.SetInUse(i, in_use(report_.worker(i)));
     }
-    const bool refresh =
-        refreshes_left_ > 0 && now - last_full_ >= kRefreshInterval;
+    const bool refresh = RefreshDue(now);
     const bool queue_changed = load_.queued_tasks_ != reported_queued_;
     reported_running_ = load_.running_tasks_;
     reported_starts_ = load_.task_starts_;
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -227,7 +227,7 @@
     event_active(flush_, 0, 0);
   }
 
-  static void OnFlush(evutil_socket_t /*fd*/, short /*what*/, void* self) {
+  static void OnFlush(evutil_socket_t /*fd*/, int16_t /*what*/, void* self) {
     auto* impl = static_cast<Impl*>(self);
     std::vector<PeerLinkEvent> events;
     events.swap(impl->events_);
@@ -406,7 +406,7 @@
     link->remote_ = remote;
   }
 
-  static void OnState(bufferevent* /*buffer*/, short what, void* context) {
+  static void OnState(bufferevent* /*buffer*/, int16_t what, void* context) {
     auto* link = static_cast<Link*>(context);
     auto* impl = static_cast<Impl*>(link->owner_);
     if ((what & BEV_EVENT_CONNECTED) == 0) return impl->Lose(link);
@@ -557,7 +557,7 @@
 
   // Time.
 
-  static void OnTimer(evutil_socket_t /*fd*/, short /*what*/, void* self) {
+  static void OnTimer(evutil_socket_t /*fd*/, int16_t /*what*/, void* self) {
     auto* impl = static_cast<Impl*>(self);
     const Time now = impl->clock_.Now();
     impl->EndOverdue(now);
--- a/src/peer_socket.cc
+++ b/src/peer_socket.cc
@@ -60,7 +60,7 @@
   fd_ = -1;
 }
 
-void PeerSocket::OnReadable(evutil_socket_t /*fd*/, short /*what*/,
+void PeerSocket::OnReadable(evutil_socket_t /*fd*/, int16_t /*what*/,
                             void* self) {
   static_cast<PeerSocket*>(self)->ReadBatch();
 }
--- a/src/peer_socket.h
+++ b/src/peer_socket.h
@@ -37,7 +37,7 @@
   void Close();
 
  private:
-  static void OnReadable(evutil_socket_t fd, short what, void* self);
+  static void OnReadable(evutil_socket_t fd, int16_t what, void* self);
   void ReadBatch();
 
   event_base* base_;
--- a/src/peer_wire.cc
+++ b/src/peer_wire.cc
@@ -429,8 +429,9 @@
   if (bytes.empty() || bytes.size() > config::kMaxDatagramBytes) return false;
   if (!ReadWhole(bytes, kDatagramFormat, out)) return false;
   const auto* state = std::get_if<StateDatagram>(out);
-  if (state == nullptr)
+  if (state == nullptr) {
     return std::get<LoadDatagram>(*out).head_.incarnation_.valid();
+  }
   return state->head_.incarnation_.valid() &&
          state->data_centre_.size() <= kMaxDataCentreBytes;
 }
--- a/src/team_guards.h
+++ b/src/team_guards.h
@@ -15,7 +15,9 @@
 };
 
 /// Quotas and rate limits of teams, held by instances that do not agree.
-/// Each instance enforces its share; shares follow demand as peers report it.
+/// Each instance enforces its share: the limit over the known instances, and
+/// of what live peers leave unused a part that follows its own demand. A limit
+/// of 0 is off and costs one comparison.
 class TeamGuards {
  public:
   TeamGuards();
@@ -24,8 +26,11 @@
   /// Takes the limits of a newer revision. Teams keep use by their name.
   void SetSettings(const Settings& settings);
 
-  /// Live instances everywhere, this one included, as last known.
-  void SetInstances(uint32_t count);
+  /// Instances everywhere, this one included.
+  /// @param known Live or listed (`PeersChanged::known_instances_`): a
+  ///     partition does not change it, so static shares stay.
+  /// @param live Heard of now; the shares of the others are not lent out.
+  void SetInstances(uint32_t known, uint32_t live = UINT32_MAX);
   /// What a peer last said of a team, and its loss.
   void SetPeerUse(Incarnation peer, const TeamUse& use, Time now);
   void ForgetPeer(Incarnation peer);
@@ -34,7 +39,8 @@
   /// @param retry_after Set when refused.
   bool TakeStarts(TeamHandle team, uint32_t tasks, Time now,
                   Duration* retry_after);
-  /// Whether one more task of the team may run here now.
+  /// Whether one more task of the team may run here now. Every instance may
+  /// run one, however small the quota.
   bool MayRun(TeamHandle team, Time now) const;
   void OnStart(TeamHandle team);
   void OnEnd(TeamHandle team);
