--- a/include/gentiandeal/gentiandeal.h
+++ b/include/gentiandeal/gentiandeal.h
@@ -17,6 +17,7 @@
 /// Length of time in whole milliseconds.
 struct Duration {
   int64_t ms_ = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`.
   friend constexpr auto operator<=>(Duration, Duration) = default;
   friend constexpr Duration operator+(Duration a, Duration b) {
     return {a.ms_ + b.ms_};
@@ -30,6 +31,7 @@
 /// values of two processes can't be compared.
 struct Time {
   int64_t ms_ = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`.
   friend constexpr auto operator<=>(Time, Time) = default;
   friend constexpr Time operator+(Time t, Duration d) {
     return {t.ms_ + d.ms_};
@@ -151,7 +153,9 @@
   uint64_t forwards_to_owner_ = 0;
   uint64_t forwards_to_data_centre_ = 0;
   uint64_t workers_set_aside_ = 0;
-  uint64_t cut_at_exit_ = 0;  ///< Requests cut by the drain limit.
+  uint64_t answers_expired_ = 0;  ///< Dropped before they were acknowledged.
+  uint64_t pauses_ = 0;           ///< Gaps after which held work was reviewed.
+  uint64_t cut_at_exit_ = 0;      ///< Requests cut by the drain limit.
   uint64_t queued_tasks_now_ = 0;
   uint64_t running_tasks_now_ = 0;
   uint64_t buffered_bytes_now_ = 0;
