--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -18,7 +18,7 @@
       forwards_(config::kMaxForwards) {
   teams_.reserve(config::kMaxTeams);
   auto initial = std::make_shared<Settings>();
-  initial->teams_.emplace_back();
+  initial->teams_.emplace_back().name_ = std::string(kRootBranch);
   Apply(std::move(initial));
 }
 
@@ -46,29 +46,7 @@
     if (i == 0) root_ = handle;
   }
   health_.SetSettings(settings_->service_);
-}
-
-TeamHandle Dispatcher::Impl::AddTeam(const TeamSettings& settings) {
-  const auto known = [&](const Team& t) { return t.name_ == settings.name_; };
-  auto found = std::find_if(teams_.begin(), teams_.end(), known);
-  if (found == teams_.end() && teams_.size() < config::kMaxTeams) {
-    found = teams_.emplace(teams_.end());
-  }
-  if (found == teams_.end()) {
-    const auto unused = [&](const Team& team) {
-      const auto index = static_cast<uint16_t>(&team - teams_.data());
-      return !team.in_settings_.valid() && team.jobs_ == 0 &&
-             account_.of({index}) == 0;
-    };
-    found = std::find_if(teams_.begin(), teams_.end(), unused);
-    if (found == teams_.end()) return {};
-    *found = Team{};
-  }
-  found->name_ = settings.name_;
-  found->settings_ = settings;
-  const auto index = static_cast<uint16_t>(found - teams_.begin());
-  queue_.SetTeam({index}, settings.weight_);
-  return {index};
+  guards_.SetSettings(*settings_);
 }
 
 void Dispatcher::Impl::TakeWorkers(const WorkersListed& message, Time now) {
@@ -88,6 +66,7 @@
   health_.Tick(now);
   workers_may_return_ = AnyWorkerMayReturn();
   submissions_.Tick(now);
+  ReleaseTeams(now);
   while (!job_timers_.empty() && job_timers_.begin()->wake_ <= now) {
     WakeJob(&*job_timers_.begin(), now, out);
   }
@@ -244,6 +223,8 @@
 
 const WorkerTable& Dispatcher::workers() const { return impl_->workers(); }
 
+TeamGuards& Dispatcher::guards() { return impl_->guards(); }
+
 Stats Dispatcher::stats() const { return impl_->stats(); }
 
 DispatcherLoad Dispatcher::load() const { return impl_->load(); }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "gentiandeal_p.h"
 #include "settings.h"
+#include "team_guards.h"
 #include "worker_table.h"
 
 namespace gentiandeal {
@@ -48,6 +49,8 @@
   /// Ends everything at the drain limit: every open request is answered.
   void CutAll(Time now, Outbox* out);
 
+  /// Guards of the teams, to exchange use with peers.
+  TeamGuards& guards();
   const WorkerTable& workers() const;
   Stats stats() const;
   DispatcherLoad load() const;
--- a/src/dispatcher_admission.cc
+++ b/src/dispatcher_admission.cc
@@ -141,9 +141,7 @@
   job->deadline_ = now + DeadlineOf(spec, team);
   job->spec_ = std::make_shared<const JobSpec>(spec);
   Describe(spec, job);
-  refusal = CheckDeadline(*job, now);
-  const bool may_forward = refusal && !message.foreign_execution_;
-  if (may_forward && ForwardAbroad(job, now, out)) refusal.reset();
+  refusal = Place(message, job, now, out);
   if (refusal) {
     jobs_.Remove(job_id);
     Reject(message.request_, id, digest, team, *refusal, out);
@@ -159,6 +157,18 @@
   if (!job->forward_.valid()) Enqueue(job, now);
 }
 
+std::optional<Dispatcher::Impl::Refusal> Dispatcher::Impl::Place(
+    const Submit& message, Job* job, Time now, Outbox* out) {
+  const std::optional<Refusal> unfit = CheckDeadline(*job, now);
+  // What runs here for a peer was counted there, and goes no further.
+  if (message.foreign_execution_) return unfit;
+  if (unfit && !MayForwardAbroad(*job)) return unfit;
+  const std::optional<Refusal> limited = TakeStarts(*job, now);
+  if (limited) return limited;
+  if (unfit) ForwardAbroad(job, now, out);
+  return std::nullopt;
+}
+
 std::optional<Dispatcher::Impl::Refusal> Dispatcher::Impl::CheckShape(
     const JobSpec& spec) const {
   if (cut_) return Refusal{Errc::kDraining, kDefaultRetryAfter};
@@ -204,18 +214,22 @@
 
 std::optional<Dispatcher::Impl::Refusal> Dispatcher::Impl::CheckDeadline(
     const Job& job, Time now) const {
+  const Duration left = job.deadline_ - now;
+  if (job.longest_ > left) return Refusal{Errc::kDeadlineTooShort, {}};
   if (workers_.placeable() == 0) {
     if (workers_.size() == 0 || !workers_may_return_) {
       return Refusal{Errc::kNoWorkers, kDefaultRetryAfter};
     }
     return std::nullopt;
   }
-  if (ExpectedFinish(job, now) <= job.deadline_ - now) return std::nullopt;
-  return Refusal{Errc::kDeadlineTooShort, RetryAfter()};
+  if (ExpectedFinish(job, now) <= left) return std::nullopt;
+  const bool blocked = teams_[job.team_.value_].blocked_;
+  return Refusal{blocked ? Errc::kQuotaExceeded : Errc::kDeadlineTooShort,
+                 RetryAfter()};
 }
 
 Duration Dispatcher::Impl::ExpectedFinish(const Job& job, Time now) const {
-  const uint32_t slots = SlotsToCountOn();
+  const uint32_t slots = SlotsToCountOn(job.team_);
   const Duration ahead = queue_.BacklogAhead(job.team_, now, job.total_);
   return Over(ahead, slots) + std::max(job.longest_, Over(job.total_, slots));
 }
@@ -226,6 +240,12 @@
   return std::min(slots, workers_.usable_slots());
 }
 
+uint32_t Dispatcher::Impl::SlotsToCountOn(TeamHandle handle) const {
+  const Team& team = teams_[handle.value_];
+  const uint32_t slots = SlotsToCountOn();
+  return team.blocked_ ? std::min(slots, team.running_) : slots;
+}
+
 Duration Dispatcher::Impl::RetryAfter() const {
   return std::clamp(Over(queue_.backlog(), SlotsToCountOn()),
                     config::kMinRetryAfter, config::kMaxRetryAfter);
@@ -280,6 +300,7 @@
   expected.reserve(job->tasks_.size());
   for (const Task& task : job->tasks_) expected.push_back(task.expected_);
   queue_.Add(job->id_, job->team_, now, job->deadline_, expected);
+  TellWaiting(job->team_);
   job->wake_ = job->latest_start();
   job_timers_.insert(*job);
 }
--- a/src/dispatcher_forward.cc
+++ b/src/dispatcher_forward.cc
@@ -17,9 +17,12 @@
     };
     if (std::none_of(message.peers_.begin(), message.peers_.end(), same)) {
       workers_.ForgetPeer(old.id_.incarnation_);
+      guards_.ForgetPeer(old.id_.incarnation_);
     }
   }
   peers_ = message.peers_;
+  const auto live = static_cast<uint32_t>(peers_.size() + 1);
+  guards_.SetInstances(message.known_instances_, live);
   uint32_t rank = 0;
   uint32_t sharers = 1;
   for (const PeerView& peer : peers_) {
@@ -95,12 +98,17 @@
   out->push_back(std::move(command));
 }
 
-bool Dispatcher::Impl::ForwardAbroad(Job* job, Time now, Outbox* out) {
+bool Dispatcher::Impl::MayForwardAbroad(const Job& job) {
   if (!settings_->service_.forward_to_data_centres_) return false;
   if (forward_credit_ < 1 || forwards_.full()) return false;
+  if (job.longest_ > job.deadline_ - job.arrival_) return false;
+  const auto tasks = static_cast<uint32_t>(job.tasks_.size());
+  return FindPeerAbroad(tasks) != nullptr;
+}
+
+void Dispatcher::Impl::ForwardAbroad(Job* job, Time now, Outbox* out) {
   const auto tasks = static_cast<uint32_t>(job->tasks_.size());
   PeerView* peer = FindPeerAbroad(tasks);
-  if (peer == nullptr) return false;
   forward_credit_ -= 1;
   peer->free_slots_ -= tasks;
   ++job->forwards_tried_;
@@ -118,7 +126,6 @@
   command.job_ = job->spec_;
   command.timeout_ = job->deadline_ - now;
   out->push_back(std::move(command));
-  return true;
 }
 
 void Dispatcher::Impl::EndForward(const ForwardEnded& message, Time now,
@@ -161,7 +168,10 @@
 
 void Dispatcher::Impl::ReturnFromAbroad(Job* job, Time now, Outbox* out) {
   const bool again = job->forwards_tried_ < kMaxForwardTries;
-  if (again && ForwardAbroad(job, now, out)) return;
+  if (again && MayForwardAbroad(*job)) {
+    ForwardAbroad(job, now, out);
+    return;
+  }
   const std::optional<Refusal> refusal = CheckDeadline(*job, now);
   if (refusal) {
     FailJob(job, refusal->error_, now, out);
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -10,13 +10,15 @@
 #include "slot_pool.h"
 #include "submissions.h"
 #include "task_queue.h"
+#include "team_guards.h"
 #include "worker_health.h"
 
 namespace gentiandeal {
 
 /// State of a dispatcher. Split over dispatcher.cc (messages and time),
-/// dispatcher_admission.cc (what is taken in), dispatcher_jobs.cc (tasks and
-/// the end of jobs) and dispatcher_forward.cc (peers).
+/// dispatcher_admission.cc (what is taken in), dispatcher_guards.cc (teams),
+/// dispatcher_jobs.cc (tasks and the end of jobs) and dispatcher_forward.cc
+/// (peers).
 class Dispatcher::Impl {
  public:
   Impl(const InstanceId& self, const ClientSecret& secret, uint64_t seed);
@@ -50,6 +52,7 @@
   void TakePeers(const PeersChanged& message);
   void EndForward(const ForwardEnded& message, Time now, Outbox* out);
 
+  TeamGuards& guards() { return guards_; }
   ClientIds& client_ids() { return client_ids_; }
   const WorkerTable& workers() const { return workers_; }
 
@@ -61,15 +64,28 @@
   };
 
   // dispatcher.cc
-  TeamHandle AddTeam(const TeamSettings& settings);
   void Resume(Time now, Outbox* out);
   void WakeJob(Job* job, Time now, Outbox* out);
   bool AnyWorkerMayReturn() const;
 
+  // dispatcher_guards.cc
+  TeamHandle AddTeam(const TeamSettings& settings);
+  std::optional<Refusal> TakeStarts(const Job& job, Time now);
+  /// Whether a task of the team may start; if not, its tasks are held back.
+  bool MayStart(TeamHandle team, Time now);
+  void CountStart(TeamHandle team);
+  void CountEnd(TeamHandle team);
+  void TellWaiting(TeamHandle team);
+  /// Releases teams that are no longer at their quota.
+  void ReleaseTeams(Time now);
+
   // dispatcher_admission.cc
   void TakeIdentified(const Submit& message, Time now, Outbox* out);
   void Admit(const Submit& message, const std::optional<SubmissionId>& id,
              const std::optional<JobDigest>& digest, Time now, Outbox* out);
+  /// Finds where the job can run, here or abroad, or refuses it.
+  std::optional<Refusal> Place(const Submit& message, Job* job, Time now,
+                               Outbox* out);
   std::optional<Refusal> CheckShape(const JobSpec& spec) const;
   std::optional<Refusal> CheckBounds(const JobSpec& spec, TeamHandle team,
                                      uint64_t bytes);
@@ -77,6 +93,7 @@
   std::optional<Refusal> CheckDeadline(const Job& job, Time now) const;
   Duration ExpectedFinish(const Job& job, Time now) const;
   uint32_t SlotsToCountOn() const;
+  uint32_t SlotsToCountOn(TeamHandle team) const;
   Duration RetryAfter() const;
   void Reject(RequestId request, const std::optional<SubmissionId>& id,
               const std::optional<JobDigest>& digest, TeamHandle team,
@@ -113,7 +130,9 @@
   void PassToOwner(const Submit& message, Time now, Outbox* out);
   void PassCancelToOwner(const CancelSubmission& message, Time now,
                          Outbox* out);
-  bool ForwardAbroad(Job* job, Time now, Outbox* out);
+  bool MayForwardAbroad(const Job& job);
+  /// Hands the job to a peer abroad; `MayForwardAbroad` must hold.
+  void ForwardAbroad(Job* job, Time now, Outbox* out);
   const PeerView* FindPeer(Incarnation incarnation) const;
   PeerView* FindPeerAbroad(uint32_t tasks);
   Forward* AddForward(Time wake);
@@ -135,8 +154,10 @@
   BufferAccount account_;
   Submissions submissions_;
   RetryBudget retries_;
+  TeamGuards guards_;
 
   std::vector<Team> teams_;
+  std::vector<TeamHandle> blocked_teams_;
   std::unordered_map<std::string, TeamHandle> team_by_name_;
   TeamHandle root_;
 
--- a/src/dispatcher_jobs.cc
+++ b/src/dispatcher_jobs.cc
@@ -25,6 +25,10 @@
     if (!next) return;
     Job* job = jobs_.Find(next->job_);
     const Task& task = job->tasks_[next->index_];
+    if (!MayStart(job->team_, now)) {
+      queue_.Return(*next, task.expected_);
+      continue;
+    }
     const WorkerHandle worker = PickAvoiding(task.avoid_, best);
     if (!worker.valid()) {
       queue_.Return(*next, task.expected_);
@@ -57,6 +61,7 @@
   ++stats_.task_starts_;
   if (++job->started_ == 1) SetTimer(job);
   workers_.OnStart(worker);
+  CountStart(job->team_);
 
   StartTask start;
   start.attempt_ = task.attempt_;
@@ -89,6 +94,7 @@
   Task& task = job->tasks_[attempt.index_];
   attempts_.Remove(message.attempt_);
   task.attempt_ = {};
+  CountEnd(job->team_);
   if (message.worker_leaving_) health_.OnLeaving(attempt.worker_, now);
   switch (message.verdict_) {
     case Verdict::kAnswered:
@@ -198,6 +204,7 @@
     if (task.phase_ != TaskPhase::kRunning) continue;
     const Attempt attempt = *attempts_.Find(task.attempt_);
     attempts_.Remove(task.attempt_);
+    CountEnd(job->team_);
     ReleaseWorker(attempt, task, now, true);
     out->emplace_back(AbandonAttempt{task.attempt_});
   }
@@ -258,6 +265,7 @@
     submissions_.Finish(*job->submission_, job->team_, std::move(answer));
   }
   queue_.Remove(job->id_);
+  TellWaiting(job->team_);
   if (job->timer_.is_linked()) {
     job_timers_.erase(job_timers_.iterator_to(*job));
   }
--- a/src/job.h
+++ b/src/job.h
@@ -19,7 +19,8 @@
   TeamSettings settings_;
   TeamHandle in_settings_;  ///< Invalid once its branch was removed.
   uint32_t jobs_ = 0;
-  bool blocked_ = false;  ///< At its quota; waits in the queue.
+  uint32_t running_ = 0;
+  bool blocked_ = false;  ///< At its quota; its tasks wait.
   RetryBudget retries_;
 };
 
