--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -19,8 +19,9 @@
   BOOST_TEST_REQUIRE(Answered(request));
   const JobAnswer& answer = answers_.at(request);
   BOOST_TEST((answer.outcome_ == Outcome::kComplete));
-  for (uint16_t i = 0; i < 3; ++i)
+  for (uint16_t i = 0; i < 3; ++i) {
     BOOST_TEST(answer.tasks_[i].body_ == body(i));
+  }
   BOOST_TEST(dispatcher_.load().idle_);
   BOOST_TEST(dispatcher_.load().buffered_bytes_ == 0U);
 }
