--- a/src/boot_settings.cc
+++ b/src/boot_settings.cc
@@ -108,13 +108,13 @@
      [](const std::string& value, Init* init) {
        return ReadName(value, &init->service_);
      }},
-    {"platform", "settings", false,
+    {"settings", "file", false,
      [](const std::string& value, Init* init) -> std::string {
        if (value.empty()) return "is empty: write a path or remove the line";
        init->settings_file_ = value;
        return {};
      }},
-    {"platform", "settings_wait", false,
+    {"settings", "wait", false,
      [](const std::string& value, Init* init) {
        return ReadDuration(value, kWaitRange, &init->settings_wait_);
      }},
--- a/src/boot_settings.h
+++ b/src/boot_settings.h
@@ -9,7 +9,7 @@
 
 /// Reads the text of a boot file.
 ///
-/// @param file Named in faults; a relative `settings` path is taken from its
+/// @param file Named in faults; a relative settings path is taken from its
 ///     directory.
 /// @param out Starts as the defaults; filled when no fault was found.
 /// @param faults Gets every fault of the file.
--- /dev/null
+++ b/tests/unit/fake_store.h
@@ -0,0 +1,59 @@
+#ifndef GENTIANDEAL_TESTS_UNIT_FAKE_STORE_H_
+#define GENTIANDEAL_TESTS_UNIT_FAKE_STORE_H_
+
+#include <map>
+
+#include "platform.h"
+#include "settings_document.h"
+
+namespace gentiandeal {
+
+/// Key-value store with compare-and-swap in memory.
+struct FakeStore {
+  struct Entry {
+    std::string value_;
+    uint64_t index_ = 0;
+  };
+  std::map<std::string, Entry> entries_;
+  uint64_t index_ = 0;
+
+  StoreValue Read(const std::string& key) const {
+    const auto it = entries_.find(key);
+    if (it == entries_.end()) return {false, "", 0, 1};
+    return {true, it->second.value_, it->second.index_, it->second.index_};
+  }
+
+  SwapResult Swap(const std::string& key, const std::string& value,
+                  uint64_t index) {
+    if (Read(key).swap_index_ != index) return SwapResult::kMissed;
+    entries_[key] = {value, ++index_};
+    return SwapResult::kSwapped;
+  }
+
+  SettingsContent Content() const {
+    SettingsContent content;
+    Diagnostics faults;
+    const auto it = entries_.find(kSettingsKey);
+    if (it != entries_.end()) {
+      ReadDocument(it->second.value_, &content, nullptr, &faults);
+    }
+    return content;
+  }
+};
+
+/// Content with one change on top of `base`.
+inline SettingsContent Changed(SettingsContent base, const std::string& id,
+                               const std::string& branch,
+                               const std::string& text) {
+  ChangeRecord record;
+  record.id_ = id;
+  record.who_ = "test";
+  record.branch_ = branch;
+  record.after_ = text;
+  AppendChange(std::move(record), &base);
+  return base;
+}
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_TESTS_UNIT_FAKE_STORE_H_
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -142,7 +142,7 @@
       "[instance]\ndata_centre = rennes\nregion = bretagne\n"
       "callers = 127.0.0.1:8080\npeers = [::1]:8081\n"
       "[platform]\naddress = 127.0.0.1:8500\nservice = dossier\n"
-      "settings = ../settings\nsettings_wait = 1s\n"
+      "[settings]\nfile = ../settings\nwait = 1s\n"
       "[seeds]\nworkers = 127.0.0.1:1, 127.0.0.1:2\n  127.0.0.1:3\n"
       "[drain]\nlinger = 1s\nlimit = 2min\n",
       &init, &faults));
