--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -198,7 +198,7 @@
       return SendJson(request, 200, events_.settings_json_());
     }
     if (path == "/v1/clients" && post) return IssueClient(request);
-    if (path == "/v1/jobs" && post) return SubmitJob(request, std::move(read));
+    if (path == "/v1/jobs" && post) return SubmitJob(request, read);
     if (path == "/v1/cancel" && post) return Cancel(request, read);
     if (path.substr(0, 4) == "/v1/") {
       return SendRefusal(request, Errc::kBadRequest,
@@ -214,7 +214,7 @@
                  std::to_string(config::kClientIdLifetime.ms_) + "}");
   }
 
-  void SubmitJob(evhtp_request_t* request, CallerRequest read) {
+  void SubmitJob(evhtp_request_t* request, const CallerRequest& read) {
     Submit submit;
     std::string detail;
     auto error = ParseSubmissionId(read.fields_, &submit.submission_, &detail);
@@ -227,8 +227,9 @@
     Submit submit;
     std::string detail;
     auto error = ParseSubmissionId(read.fields_, &submit.submission_, &detail);
-    if (!error)
+    if (!error) {
       error = ParsePassthrough(std::move(read), &submit.job_, &detail);
+    }
     if (error) return SendRefusal(request, error, detail);
     Wait(request, std::move(submit));
   }
--- a/src/job_json.cc
+++ b/src/job_json.cc
@@ -126,7 +126,8 @@
   // Call last: refuses members that nobody took.
   void RefuseOthers(std::initializer_list<const char*> known) {
     if (!ok_ || taken_ == object_.size()) return;
-    for (const auto& [key, value] : object_.items()) {
+    for (auto member = object_.begin(); member != object_.end(); ++member) {
+      const std::string& key = member.key();
       const bool is_known = std::any_of(
           known.begin(), known.end(), [&](const char* k) { return key == k; });
       if (!is_known) return Fail(key, "is not known: remove it");
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -102,14 +102,15 @@
  public:
   TestListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
     const sockaddr_in any = ToSockaddr({"127.0.0.1", 0});
-    bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof(any));
-    listen(fd_, 16);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&any);
+    ready_ = bind(fd_, generic, sizeof(any)) == 0 && listen(fd_, 16) == 0;
     LocalAddress(fd_, &address_);
   }
   ~TestListener() { Close(); }
   TestListener(const TestListener&) = delete;
   TestListener& operator=(const TestListener&) = delete;
 
+  bool ready() const { return ready_; }
   const Address& address() const { return address_; }
 
   /// @returns an accepted socket, or null when none waits.
@@ -125,6 +126,7 @@
 
  private:
   int fd_;
+  bool ready_ = false;
   Address address_;
 };
 
