--- /dev/null
+++ b/examples/01-embedded/main.cc
@@ -0,0 +1,45 @@
+#include <cinttypes>
+#include <csignal>
+#include <cstdio>
+
+#include "gentiandeal/gentiandeal.h"
+
+// Runs an entry instance inside another program, without a platform: workers
+// are named on the command line. Ends on SIGTERM or SIGINT.
+//
+//   example-01-embedded 127.0.0.1:9001 127.0.0.1:9002
+
+namespace {
+
+gentiandeal::EntryInstance* running_instance = nullptr;
+
+void OnSignal(int) { running_instance->Drain(); }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gentiandeal::Init init;
+  init.drain_linger_ = gentiandeal::Duration{100};
+  for (int i = 1; i < argc; ++i) {
+    gentiandeal::Address worker;
+    if (const auto error = gentiandeal::ParseAddress(argv[i], &worker)) {
+      std::fprintf(stderr, "%s: %s\n", argv[i], error.message().c_str());
+      return 2;
+    }
+    init.seed_workers_.push_back(worker);
+  }
+  gentiandeal::EntryInstance instance(init);
+  if (const auto error = instance.Start()) {
+    std::fprintf(stderr, "can't listen: %s\n", error.message().c_str());
+    return 3;
+  }
+  running_instance = &instance;
+  std::signal(SIGTERM, &OnSignal);
+  std::signal(SIGINT, &OnSignal);
+  std::printf("callers: %s\n", ToString(instance.callers()).c_str());
+  std::fflush(stdout);
+  instance.Run();
+  const gentiandeal::Stats stats = instance.GetStats();
+  std::printf("task starts: %ju\n", static_cast<uintmax_t>(stats.task_starts_));
+  return 0;
+}
