Measure the whole dispatcher in the benchmark

Cause: the decision parts alone do not show admission, deadlines and outcomes. Conclusion: admission takes in jobs that end just past their deadline, and the slots of abandoned attempts are used again while the worker is still busy.

--- a/tools/bench_decisions.cc
+++ b/tools/bench_decisions.cc
@@ -140,7 +140,7 @@
             .Draw();
     Site central = site;
     central.instances_ = 1;
-    Add<DecisionParts<Knowledge::kLearned>>(name, kOurs, site, arrivals);
+    Add<WholeDispatcher>(name, kOurs, site, arrivals);
     Add<SendAtOnce<RandomChoice>>(name, "random", site, arrivals);
     Add<SendAtOnce<RoundRobin>>(name, "round-robin", site, arrivals);
     Add<SendAtOnce<LeastOutstanding>>(name, "least-outstanding", site,
--- a/tools/bench_policies.h
+++ b/tools/bench_policies.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "bench_fakes.h"
+#include "dispatcher.h"
 #include "run_times.h"
 #include "task_queue.h"
 #include "worker_table.h"
@@ -287,6 +288,43 @@
   uint64_t last_attempt_ = 0;
 };
 
+/// The real dispatcher, alone with its peers in one data centre.
+class WholeDispatcher {
+ public:
+  explicit WholeDispatcher(const InstanceInit& init)
+      : dispatcher_(Id(init.rank_), {1, 2, 3}, init.seed_) {
+    Outbox out;
+    auto settings = std::make_shared<Settings>();
+    settings->revision_ = {1};
+    settings->teams_.emplace_back();
+    settings->teams_[0].max_queued_tasks_ =
+        settings->service_.max_queued_tasks_;
+    dispatcher_.On(SettingsChanged{settings}, kStart, &out);
+    dispatcher_.On(WorkersListed{init.workers_}, kStart, &out);
+    PeersChanged peers;
+    for (uint32_t rank = 0; rank < init.count_; ++rank) {
+      if (rank != init.rank_) peers.peers_.push_back({Id(rank), false, 0});
+    }
+    dispatcher_.On(peers, kStart, &out);
+  }
+
+  template <typename Message>
+  void On(const Message& message, Time now, Outbox* out) {
+    dispatcher_.On(message, now, out);
+  }
+  void Tick(Time now, Outbox* out) { dispatcher_.Tick(now, out); }
+  const WorkerTable& workers() const { return dispatcher_.workers(); }
+
+ private:
+  static constexpr Time kStart{0};
+  static InstanceId Id(uint32_t rank) {
+    const auto port = static_cast<uint16_t>(7000 + rank);
+    return {"dc", {"127.0.0.1", port}, {rank + 1}};
+  }
+
+  Dispatcher dispatcher_;
+};
+
 }  // namespace gentiandeal::bench
 
 #endif  // GENTIANDEAL_TOOLS_BENCH_POLICIES_H_
