--- a/src/membership.cc
+++ b/src/membership.cc
@@ -1,6 +1,8 @@
 #include "membership.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -48,6 +50,10 @@
   return static_cast<T>(std::min(value, kMax));
 }
 
+uint32_t Whole(CoarseNumber number) {
+  return static_cast<uint32_t>(std::lround(number.Value()));
+}
+
 struct Peer {
   Address address_;
   std::string data_centre_;
@@ -131,9 +137,13 @@
     team_of_hash_.clear();
     own_uses_.clear();
     for (size_t i = 0; i < settings.teams_.size(); ++i) {
-      const NameHash hash = HashName(settings.teams_[i].name_);
+      const auto hash =
+          static_cast<uint16_t>(HashName(settings.teams_[i].name_).value_);
       hash_of_team_.push_back(hash);
-      team_of_hash_[hash.value_] = {static_cast<uint16_t>(i)};
+      const TeamHandle team{static_cast<uint16_t>(i)};
+      const bool added = team_of_hash_.emplace(hash, team).second;
+      // Teams that collide are not reported: they keep their equal parts.
+      if (!added) team_of_hash_[hash] = TeamHandle();
     }
   }
 
@@ -327,13 +337,12 @@
   void TakePeerUses(const Peer& peer, const std::vector<WireTeamUse>& uses,
                     PeerEvents* out) const {
     for (const WireTeamUse& use : uses) {
-      const auto found = team_of_hash_.find(use.team_.value_);
-      if (found == team_of_hash_.end()) continue;
-      const double rate = use.starts_per_second_;
-      out->push_back(PeerTeamUse{
-          peer.incarnation_,
-          {found->second, use.running_, use.waiting_,
-           rate >= 0 && rate < std::numeric_limits<float>::max() ? rate : 0}});
+      const auto found = team_of_hash_.find(use.team_);
+      if (found == team_of_hash_.end() || !found->second.valid()) continue;
+      out->push_back(
+          PeerTeamUse{peer.incarnation_,
+                      {found->second, Whole(use.running_), Whole(use.waiting_),
+                       use.starts_per_second_.Value()}});
     }
   }
 
@@ -364,9 +373,14 @@
         std::min(most, tokens_ + per_ms * static_cast<double>(elapsed_.ms_));
   }
 
+  bool Reported(TeamHandle team) const {
+    if (team.value_ >= hash_of_team_.size()) return false;
+    return team_of_hash_.at(hash_of_team_[team.value_]) == team;
+  }
+
   void TakeUses(const OwnLoad& load, Time now) {
     for (const TeamUse& use : load.team_uses_) {
-      if (use.team_.value_ >= hash_of_team_.size()) continue;
+      if (!Reported(use.team_)) continue;
       own_uses_[use.team_] = {use, true, now + kZeroUseRepeat};
       uses_pending_ = true;
     }
@@ -449,9 +463,9 @@
   }
 
   WireTeamUse ToWire(const TeamUse& use) const {
-    return {hash_of_team_[use.team_.value_], Saturate<uint16_t>(use.running_),
-            Saturate<uint16_t>(use.waiting_),
-            static_cast<float>(use.starts_per_second_)};
+    return {hash_of_team_[use.team_.value_], CoarseNumber::From(use.running_),
+            CoarseNumber::From(use.waiting_),
+            CoarseNumber::From(use.starts_per_second_)};
   }
 
   void SendStates(Time now, PeerEvents* out) {
@@ -635,8 +649,8 @@
   MembershipStats stats_;
   std::map<std::string, uint32_t> free_slots_;  ///< By data centre.
 
-  std::vector<NameHash> hash_of_team_;
-  std::unordered_map<uint32_t, TeamHandle> team_of_hash_;
+  std::vector<uint16_t> hash_of_team_;
+  std::unordered_map<uint16_t, TeamHandle> team_of_hash_;
   std::map<TeamHandle, OwnUse> own_uses_;
   TeamHandle last_use_told_;
   bool uses_pending_ = false;
--- a/src/peer_wire.cc
+++ b/src/peer_wire.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
+#include <cmath>
 #include <istream>
+#include <limits>
 #include <ostream>
 #include <streambuf>
 
@@ -16,6 +18,8 @@
 /// First byte of every frame; changes with the format.
 constexpr uint8_t kFrameFormat = 0xf1;
 constexpr uint8_t kNibbleMax = 0x0f;
+/// Codes of a `CoarseNumber` for each doubling.
+constexpr double kCodesPerDoubling = 16;
 constexpr uint32_t kMaxFieldsPerMessage = 4096;
 
 class AppendBuffer : public std::streambuf {
@@ -133,10 +137,10 @@
 
 template <typename A>
 void Fields(A& archive, WireTeamUse& use) {
-  Fields(archive, use.team_);
-  archive.Value(use.running_);
-  archive.Value(use.waiting_);
-  archive.Value(use.starts_per_second_);
+  archive.Value(use.team_);
+  archive.Value(use.running_.code_);
+  archive.Value(use.waiting_.code_);
+  archive.Value(use.starts_per_second_.code_);
 }
 
 template <typename A>
@@ -415,6 +419,17 @@
   return {hash == 0 ? 1 : hash};
 }
 
+CoarseNumber CoarseNumber::From(double value) {
+  if (!(value > 0)) return {};
+  const double code = std::round(kCodesPerDoubling * std::log2(1 + value));
+  constexpr double kMaxCode = std::numeric_limits<uint8_t>::max();
+  return {static_cast<uint8_t>(std::min(code, kMaxCode))};
+}
+
+double CoarseNumber::Value() const {
+  return std::exp2(code_ / kCodesPerDoubling) - 1;
+}
+
 std::string Encode(const Datagram& datagram) {
   std::string bytes;
   Writer writer(&bytes);
--- a/src/peer_wire.h
+++ b/src/peer_wire.h
@@ -19,12 +19,19 @@
 /// Hashes a name for the wire.
 NameHash HashName(std::string_view name);
 
-/// Use of one team's guards, as sent.
+/// Number in one byte: exact up to 15 for whole numbers, then within 3 %.
+struct CoarseNumber {
+  uint8_t code_ = 0;
+  static CoarseNumber From(double value);
+  double Value() const;
+};
+
+/// Use of one team's guards, as sent: 5 bytes.
 struct WireTeamUse {
-  NameHash team_;
-  uint16_t running_ = 0;  ///< Saturates.
-  uint16_t waiting_ = 0;  ///< Saturates.
-  float starts_per_second_ = 0;
+  uint16_t team_ = 0;  ///< Low half of the hash of the team's path.
+  CoarseNumber running_;
+  CoarseNumber waiting_;
+  CoarseNumber starts_per_second_;
 };
 
 /// Slots in use at one worker, as sent.
@@ -66,7 +73,7 @@
 using Datagram = std::variant<StateDatagram, LoadDatagram>;
 
 /// Most entries of a kind in one datagram.
-inline constexpr size_t kMaxTeamsPerDatagram = 16;
+inline constexpr size_t kMaxTeamsPerDatagram = 8;
 inline constexpr size_t kMaxChangesPerDatagram = 220;
 /// Longest data centre name on the wire, in bytes.
 inline constexpr size_t kMaxDataCentreBytes = 64;
--- a/tests/unit/peer_wire_test.cc
+++ b/tests/unit/peer_wire_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <random>
 
 namespace gentiandeal {
@@ -17,7 +18,7 @@
   state.worker_list_ = {5};
   state.interval_ms_ = 1000;
   state.draining_ = true;
-  state.teams_.assign(kMaxTeamsPerDatagram, {{6}, 7, 8, 0.5F});
+  state.teams_.assign(kMaxTeamsPerDatagram, {6, {7}, {8}, {9}});
   return state;
 }
 
@@ -30,7 +31,7 @@
     load.counts_.push_back(static_cast<uint8_t>((i + in_use) % (in_use + 1)));
   }
   load.changes_ = {{{8}, 255}};
-  load.teams_ = {{{6}, 7, 8, 0.5F}};
+  load.teams_ = {{6, {7}, {8}, {9}}};
   return load;
 }
 
@@ -107,6 +108,18 @@
   BOOST_TEST(Encode(largest).size() <= config::kMaxDatagramBytes);
 }
 
+BOOST_AUTO_TEST_CASE(CoarseNumbersAreExactWhereSmallAndNearElsewhere) {
+  for (int value = 0; value < 16; ++value) {
+    BOOST_TEST(std::lround(CoarseNumber::From(value).Value()) == value);
+  }
+  for (const double value : {0.5, 20.0, 333.0, 28000.0}) {
+    const double read = CoarseNumber::From(value).Value();
+    BOOST_TEST(std::abs(read - value) <= 0.07 * value);
+  }
+  BOOST_TEST(CoarseNumber::From(-1).Value() == 0);
+  BOOST_TEST(CoarseNumber::From(1e12).code_ == 255);
+}
+
 BOOST_AUTO_TEST_CASE(FramesSurvive) {
   for (const Frame& frame : EveryFrame()) {
     const std::string bytes = EncodeFrame(frame);
