--- a/tools/bench_control.cc
+++ b/tools/bench_control.cc
@@ -454,20 +454,20 @@
 
 int main(int argc, char** argv) {
   namespace po = boost::program_options;
-  po::options_description options("Measures control traffic");
-  options.add_options()("json", "write figures and slopes as JSON")(
-      "check", "fail when a figure misses the target")("help", "this text");
-  po::variables_map values;
   try {
+    po::options_description options("Measures control traffic");
+    options.add_options()("json", "write figures and slopes as JSON")(
+        "check", "fail when a figure misses the target")("help", "this text");
+    po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << '\n' << options;
+    if (values.count("help") != 0) {
+      std::cout << options;
+      return 0;
+    }
+    return gentiandeal::Main(values.count("json") != 0,
+                             values.count("check") != 0);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
     return 2;
   }
-  if (values.count("help") != 0) {
-    std::cout << options;
-    return 0;
-  }
-  return gentiandeal::Main(values.count("json") != 0,
-                           values.count("check") != 0);
 }
