--- /dev/null
+++ b/src/cmd_submit.cc
@@ -0,0 +1,164 @@
+#include <event2/event.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "command_line.h"
+#include "http_client.h"
+#include "job_json.h"
+
+namespace gentiandeal {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr Duration kControlTimeout{2000};
+constexpr Duration kRetryWait{200};
+
+struct SubmitOptions {
+  TargetOptions targets_;
+  std::string job_file_;
+  std::string client_;
+  uint64_t sequence_ = 1;
+  int64_t timeout_ms_ = 60000;
+  uint32_t attempts_ = 6;
+};
+
+bool ReadText(const std::string& file, std::string* out) {
+  std::ostringstream text;
+  if (file == "-") {
+    text << std::cin.rdbuf();
+  } else {
+    std::ifstream stream(file);
+    if (!stream) return false;
+    text << stream.rdbuf();
+  }
+  *out = text.str();
+  return true;
+}
+
+void ShowProgress(const std::string& line) {
+  if (isatty(STDERR_FILENO) != 0) std::cerr << line << "\n";
+}
+
+void Wait(Duration duration) {
+  event_base* base = event_base_new();
+  const timeval wait{duration.ms_ / 1000, duration.ms_ % 1000 * 1000};
+  event_base_loopexit(base, &wait);
+  event_base_loop(base, EVLOOP_NO_EXIT_ON_EMPTY);
+  event_base_free(base);
+}
+
+/// Asks the targets in turn. @returns an empty id when none answers.
+std::string FetchClientId(const std::vector<Address>& targets) {
+  for (const Address& target : targets) {
+    const HttpResponse response =
+        Fetch(target, {"POST", "/v1/clients", {}, ""}, kControlTimeout);
+    const auto body = nlohmann::json::parse(response.body_, nullptr, false);
+    if (body.is_object() && body.contains("client")) {
+      return body.at("client").get<std::string>();
+    }
+  }
+  return {};
+}
+
+/// Whether another instance may still know more than this answer says.
+bool MayAskAgain(const HttpResponse& response, const JobAnswer& answer) {
+  if (!response.whole_) return true;
+  return answer.outcome_ == Outcome::kMayHaveRun &&
+         answer.error_ == make_error_code(Errc::kOwnerUnreachable);
+}
+
+int PrintAnswer(const HttpResponse& response, const JobAnswer& answer) {
+  std::cout << response.body_ << "\n";
+  switch (answer.outcome_) {
+    case Outcome::kComplete:
+      return kExitOk;
+    case Outcome::kNotRun:
+      return kExitFailed;
+    case Outcome::kMayHaveRun:
+      return kExitMayHaveRun;
+  }
+  return kExitMayHaveRun;
+}
+
+int PrintLinkLost() {
+  JobAnswer lost;
+  lost.outcome_ = Outcome::kMayHaveRun;
+  lost.error_ = Errc::kPeerLinkLost;
+  lost.started_known_ = false;
+  std::cout << AnswerToJson(lost) << "\n";
+  return kExitMayHaveRun;
+}
+
+/// Sends the same submission to one target after another until one answers it.
+int SubmitJob(const SubmitOptions& options, const std::string& job,
+              const std::vector<Address>& targets) {
+  const HttpRequest request{
+      "POST",
+      "/v1/jobs",
+      {{"Content-Type", "application/json"},
+       {"Gentiandeal-Client", options.client_},
+       {"Gentiandeal-Sequence", std::to_string(options.sequence_)}},
+      job};
+  HttpResponse response;
+  JobAnswer answer;
+  for (uint32_t attempt = 0; attempt < options.attempts_; ++attempt) {
+    if (attempt > 0) Wait(kRetryWait);
+    const Address& target = targets[attempt % targets.size()];
+    ShowProgress("submitting to " + ToString(target) + ", attempt " +
+                 std::to_string(attempt + 1));
+    const HttpResponse next =
+        Fetch(target, request, Duration{options.timeout_ms_});
+    if (!next.whole_ || ParseAnswer(next.body_, &answer)) continue;
+    response = next;
+    if (!MayAskAgain(response, answer)) break;
+  }
+  return response.whole_ ? PrintAnswer(response, answer) : PrintLinkLost();
+}
+
+}  // namespace
+
+int RunSubmit(const Words& words) {
+  SubmitOptions options;
+  po::options_description all(
+      "gentiandeal submit --to IP:PORT [OPTIONS] JOB\n"
+      "Submits the job of a JSON file (docs/API.md; - reads standard input)\n"
+      "and prints its whole answer. The same submission goes to the next\n"
+      "address when a link is lost; no task starts twice");
+  AddTargetOptions(&all, &options.targets_);
+  auto add = all.add_options();
+  add("job", po::value(&options.job_file_)->required(), "job file");
+  add("client", po::value(&options.client_),
+      "client id to submit under; fetched when absent");
+  add("sequence", po::value(&options.sequence_),
+      "number of the submission of this client; 1 when absent");
+  add("timeout-ms", po::value(&options.timeout_ms_),
+      "longest wait for one answer");
+  add("attempts", po::value(&options.attempts_), "times to send it at most");
+  if (const auto end = ReadWords(words, "submit", all, "job")) return *end;
+  std::vector<Address> targets;
+  if (const auto end = ReadTargets(options.targets_, "submit", &targets)) {
+    return *end;
+  }
+  std::string text;
+  if (!ReadText(options.job_file_, &text)) {
+    return UsageError("submit", options.job_file_ + " can't be read");
+  }
+  JobSpec job;
+  std::string detail;
+  if (ParseJob(text, &job, &detail)) {
+    return UsageError("submit", options.job_file_ + ": " + detail);
+  }
+  if (options.client_.empty()) options.client_ = FetchClientId(targets);
+  if (options.client_.empty()) {
+    std::cerr << "gentiandeal submit: no instance answers: check --to\n";
+    return kExitUnavailable;
+  }
+  return SubmitJob(options, text, targets);
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/command_line.cc
@@ -0,0 +1,73 @@
+#include "command_line.h"
+
+#include <iostream>
+
+namespace gentiandeal {
+namespace {
+
+namespace po = boost::program_options;
+
+bool IsLoopback(const Address& address) {
+  return address.host_.rfind("127.", 0) == 0 || address.host_ == "::1";
+}
+
+}  // namespace
+
+void AddTargetOptions(po::options_description* options, TargetOptions* out) {
+  auto add = options->add_options();
+  add("help,h", "show this text");
+  add("to", po::value(&out->texts_)->composing()->value_name("IP:PORT"),
+      "callers' address of an entry instance; give it again for more");
+  add("allow-remote", po::bool_switch(&out->allow_remote_),
+      "allow addresses other than loopback");
+}
+
+std::optional<int> ReadWords(const Words& words, const std::string& name,
+                             const po::options_description& options,
+                             const std::string& operand) {
+  po::positional_options_description operands;
+  if (!operand.empty()) operands.add(operand.c_str(), 1);
+  try {
+    po::variables_map values;
+    po::store(po::command_line_parser(words)
+                  .options(options)
+                  .positional(operands)
+                  .run(),
+              values);
+    if (values.count("help") > 0) {
+      std::cout << options;
+      return kExitOk;
+    }
+    po::notify(values);
+  } catch (const po::error& error) {
+    return UsageError(name, error.what());
+  }
+  return std::nullopt;
+}
+
+std::optional<int> ReadTargets(const TargetOptions& options,
+                               const std::string& name,
+                               std::vector<Address>* out) {
+  if (options.texts_.empty()) return UsageError(name, "give --to IP:PORT");
+  for (const std::string& text : options.texts_) {
+    Address address;
+    if (const auto error = ParseAddress(text, &address)) {
+      return UsageError(name, text + ": " + error.message());
+    }
+    if (!options.allow_remote_ && !IsLoopback(address)) {
+      return UsageError(name, text +
+                                  " is not a loopback address: give "
+                                  "--allow-remote to call it");
+    }
+    out->push_back(address);
+  }
+  return std::nullopt;
+}
+
+int UsageError(const std::string& name, const std::string& message) {
+  std::cerr << "gentiandeal " << name << ": " << message << "\nSee gentiandeal "
+            << name << " --help.\n";
+  return kExitUsage;
+}
+
+}  // namespace gentiandeal
--- a/src/main.cc
+++ b/src/main.cc
@@ -15,6 +15,9 @@
 
 constexpr Subcommand kSubcommands[] = {
     {"serve", "run an entry instance", &RunServe},
+    {"submit", "submit a job and print its whole answer", &RunSubmit},
+    {"status", "show what an entry instance sees", &RunStatus},
+    {"load", "send made-up jobs and measure the answers", &RunLoad},
 };
 
 constexpr char kHead[] =
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -41,13 +41,11 @@
                            : kSignalBase + WTERMSIG(status);
 }
 
-std::string Join(const std::vector<Address>& addresses) {
-  std::string text;
+void WriteList(const char* key, const std::vector<Address>& addresses,
+               std::ostream* out) {
   for (const Address& address : addresses) {
-    if (!text.empty()) text += ", ";
-    text += ToString(address);
+    *out << key << " = " << ToString(address) << "\n";
   }
-  return text;
 }
 
 void Pause() { poll(nullptr, 0, kPollMs); }
@@ -256,12 +254,8 @@
     text << "settings = " << boot.settings_file_ << "\n";
   }
   text << "[seeds]\n";
-  if (!boot.seed_workers_.empty()) {
-    text << "workers = " << Join(boot.seed_workers_) << "\n";
-  }
-  if (!boot.seed_peers_.empty()) {
-    text << "peers = " << Join(boot.seed_peers_) << "\n";
-  }
+  WriteList("workers", boot.seed_workers_, &text);
+  WriteList("peers", boot.seed_peers_, &text);
   text << "[drain]\nlinger = " << boot.linger_ << "\nlimit = " << boot.limit_
        << "\n";
   return text.str();
