Admit with a margin and keep the slots of abandoned attempts

Cause: in a 3x burst jobs were admitted that ended just past their deadline, and the slots of attempts abandoned at the deadline were used again while the workers were still busy with them: tasks queued at workers and failed in turn. Ruled out: ageing (1/32 of the work, nearly first come first served). Change: the last start keeps the upper estimate free before the deadline, expected waits count 1.25 times, an abandoned or lost attempt holds its slot for the upper estimate.

--- a/src/dispatcher_admission.cc
+++ b/src/dispatcher_admission.cc
@@ -13,6 +13,10 @@
   return Digest(message.job_);
 }
 
+/// Expected waits are taken this much longer, since what was admitted has to
+/// end in time although run times are estimates.
+constexpr int64_t kWaitMarginPercent = 125;
+
 Duration Over(Duration work, uint32_t slots) {
   return {work.ms_ / std::max<int64_t>(slots, 1)};
 }
@@ -201,6 +205,7 @@
 }
 
 void Dispatcher::Impl::Describe(const JobSpec& spec, Job* job) {
+  Duration high;
   job->tasks_.resize(spec.tasks_.size());
   for (size_t i = 0; i < spec.tasks_.size(); ++i) {
     const TaskSpec& described = spec.tasks_[i];
@@ -209,7 +214,12 @@
     task.expected_ = run_times_.Expect(task.kind_, described.declared_run_);
     job->longest_ = std::max(job->longest_, task.expected_);
     job->total_ = job->total_ + task.expected_;
+    high = std::max(high,
+                    run_times_.ExpectHigh(task.kind_, described.declared_run_));
   }
+  // A poor upper estimate may not eat up the time to wait.
+  const Duration half{(job->deadline_ - job->arrival_).ms_ / 2};
+  job->reserve_ = std::max(job->longest_, std::min(high, half));
 }
 
 std::optional<Dispatcher::Impl::Refusal> Dispatcher::Impl::CheckDeadline(
@@ -231,7 +241,8 @@
 Duration Dispatcher::Impl::ExpectedFinish(const Job& job, Time now) const {
   const uint32_t slots = SlotsToCountOn(job.team_);
   const Duration ahead = queue_.BacklogAhead(job.team_, now, job.total_);
-  return Over(ahead, slots) + std::max(job.longest_, Over(job.total_, slots));
+  const Duration wait{Over(ahead, slots).ms_ * kWaitMarginPercent / 100};
+  return wait + std::max(job.reserve_, Over(job.total_, slots));
 }
 
 uint32_t Dispatcher::Impl::SlotsToCountOn() const {
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -108,8 +108,8 @@
                 Outbox* out);
   WorkerHandle PickAvoiding(WorkerHandle avoid, WorkerHandle fallback);
   Duration TaskTimeout(const Job& job, const Task& task, Time now) const;
-  void ReleaseWorker(const Attempt& attempt, const Task& task, Time now,
-                     bool hold);
+  Duration HighEstimate(const Job& job, uint16_t index) const;
+  void ReleaseWorker(const Attempt& attempt, Time now, Duration busy);
   void EndAnswered(Job* job, const Attempt& attempt, const TaskAnswer& answer,
                    Time now, Outbox* out);
   void EndFailed(Job* job, const Attempt& attempt, const AttemptEnded& message,
--- a/src/dispatcher_jobs.cc
+++ b/src/dispatcher_jobs.cc
@@ -77,9 +77,8 @@
 Duration Dispatcher::Impl::TaskTimeout(const Job& job, const Task& task,
                                        Time now) const {
   const ServiceSettings& service = settings_->service_;
-  const size_t index = &task - job.tasks_.data();
-  const Duration high =
-      run_times_.ExpectHigh(task.kind_, job.spec_->tasks_[index].declared_run_);
+  const auto index = static_cast<uint16_t>(&task - job.tasks_.data());
+  const Duration high = HighEstimate(job, index);
   const Duration timeout = std::max(service.min_task_timeout_,
                                     Scaled(high, service.timeout_factor_));
   return std::clamp(timeout, Duration{1}, job.deadline_ - now);
@@ -111,11 +110,16 @@
   }
 }
 
-void Dispatcher::Impl::ReleaseWorker(const Attempt& attempt, const Task& task,
-                                     Time now, bool hold) {
+Duration Dispatcher::Impl::HighEstimate(const Job& job, uint16_t index) const {
+  const Duration declared = job.spec_->tasks_[index].declared_run_;
+  return run_times_.ExpectHigh(job.tasks_[index].kind_, declared);
+}
+
+// The slot counts as used until the attempt is `busy` old.
+void Dispatcher::Impl::ReleaseWorker(const Attempt& attempt, Time now,
+                                     Duration busy) {
   const Duration elapsed = now - attempt.sent_;
-  const Duration left = std::max(task.expected_ - elapsed, Duration{0});
-  workers_.OnEnd(attempt.worker_, now, hold ? left : Duration{0});
+  workers_.OnEnd(attempt.worker_, now, std::max(busy - elapsed, Duration{0}));
 }
 
 void Dispatcher::Impl::EndAnswered(Job* job, const Attempt& attempt,
@@ -127,7 +131,7 @@
   health_.OnAnswered(attempt.worker_, task.kind_, now);
   workers_.OnServiceTime(attempt.worker_, run, task.expected_);
   run_times_.Observe(task.kind_, spec.declared_run_, run);
-  ReleaseWorker(attempt, task, now, false);
+  ReleaseWorker(attempt, now, Duration{0});
 
   const uint64_t bytes = BufferedBytes(answer);
   const bool fits = job->answer_bytes_ + bytes <= config::kMaxJobAnswerBytes;
@@ -150,9 +154,12 @@
                                  Outbox* out) {
   Task& task = job->tasks_[attempt.index_];
   health_.OnFailed(attempt.worker_, task.kind_, now);
-  ReleaseWorker(attempt, task, now, true);
-  task.phase_ = TaskPhase::kLost;
   const bool failed = message.verdict_ == Verdict::kFailed;
+  // After a lost answer the worker may go on with the task.
+  const Duration busy =
+      failed ? task.expected_ : HighEstimate(*job, attempt.index_);
+  ReleaseWorker(attempt, now, busy);
+  task.phase_ = TaskPhase::kLost;
   std::error_code error = message.error_;
   if (!error) error = failed ? Errc::kWorkerFailed : Errc::kWorkerLinkLost;
   if (failed && job->spec_->passthrough_) {
@@ -172,7 +179,7 @@
     ++stats_.connects_failed_;
     health_.OnUnreachable(attempt.worker_, attempt.sent_, now);
   }
-  ReleaseWorker(attempt, task, now, false);
+  ReleaseWorker(attempt, now, Duration{0});
   task.phase_ = TaskPhase::kWaiting;
   task.avoid_ = attempt.worker_;
   if (--job->started_ == 0) SetTimer(job);
@@ -205,7 +212,8 @@
     const Attempt attempt = *attempts_.Find(task.attempt_);
     attempts_.Remove(task.attempt_);
     CountEnd(job->team_);
-    ReleaseWorker(attempt, task, now, true);
+    // The worker may go on with it.
+    ReleaseWorker(attempt, now, HighEstimate(*job, attempt.index_));
     out->emplace_back(AbandonAttempt{task.attempt_});
   }
   if (Forward* forward = forwards_.Find(job->forward_)) {
--- a/src/job.h
+++ b/src/job.h
@@ -62,6 +62,7 @@
   uint32_t started_ = 0;             ///< Tasks in any phase but kWaiting.
   uint32_t answered_ = 0;
   Duration longest_;    ///< Longest expected run time of a task.
+  Duration reserve_;    ///< Kept free before the deadline for the last start.
   Duration total_;      ///< Sum of the expected run times.
   uint64_t bytes_ = 0;  ///< Charged to the buffer account.
   uint64_t answer_bytes_ = 0;
@@ -72,7 +73,7 @@
   TimerHook timer_;
 
   /// Last moment at which starting can meet the deadline.
-  Time latest_start() const { return deadline_ - longest_; }
+  Time latest_start() const { return deadline_ - reserve_; }
 };
 
 struct Attempt {
