--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
+#include "run_times.h"
 #include "unit/dispatcher_fixture.h"
 
 namespace gentiandeal {
