--- a/tools/bench_control.cc
+++ b/tools/bench_control.cc
@@ -15,6 +15,7 @@
 #include "gentiandeal_p.h"
 #include "membership.h"
 #include "peer_socket.h"
+#include "peer_wire.h"
 #include "team_guards.h"
 
 /// Cost of the control traffic between entry instances, on a virtual clock:
@@ -31,6 +32,8 @@
 constexpr double kMeanRunMs = 150;
 constexpr uint64_t kSeed = 20261203;
 constexpr int kSocketDatagrams = 20000;
+constexpr int kFrames = 500;
+constexpr size_t kBodyBytes = 300;
 
 /// The target for one node.
 constexpr double kMaxBytesPerSecond = 9000;
@@ -328,6 +331,39 @@
   return received == 0 ? 0 : seconds / received;
 }
 
+/// Processor time to write and read a submission of `tasks` tasks with bodies
+/// of `kBodyBytes`, and its size.
+struct FrameCost {
+  double seconds_ = 0;
+  size_t bytes_ = 0;
+};
+
+FrameCost SubmitFrameCost(size_t tasks) {
+  auto job = std::make_shared<JobSpec>();
+  job->tasks_.resize(tasks);
+  for (TaskSpec& task : job->tasks_) {
+    task.path_ = "/convocations";
+    task.fields_ = {{"Content-Type", "application/json"}};
+    task.body_ = std::string(kBodyBytes, 'x');
+  }
+  ForwardSubmission forward;
+  forward.forward_ = {1};
+  forward.submission_.emplace();
+  forward.job_ = std::move(job);
+  FrameCost cost;
+  const double begin = CpuSeconds();
+  for (int i = 0; i < kFrames; ++i) {
+    const std::string bytes = EncodeSubmit(forward);
+    std::string_view body = bytes;
+    body.remove_prefix(kFrameLengthBytes);
+    Frame frame;
+    if (!DecodeFrame(body, &frame)) return {};
+    cost.bytes_ = bytes.size();
+  }
+  cost.seconds_ = (CpuSeconds() - begin) / kFrames;
+  return cost;
+}
+
 /// A line through points, by least squares.
 struct Line {
   double constant_ = 0;
@@ -355,6 +391,10 @@
   return {{"constant", line.constant_}, {"slope", line.slope_}};
 }
 
+nlohmann::json ToJson(const FrameCost& cost) {
+  return {{"seconds", cost.seconds_}, {"bytes", cost.bytes_}};
+}
+
 nlohmann::json ToJson(const Shape& shape, const Figures& figures) {
   return {{"instances_per_data_centre", shape.instances_},
           {"data_centres", shape.data_centres_},
@@ -443,7 +483,10 @@
       {"heartbeat_bytes_per_second_per_peer", ToJson(Fit(heartbeat))},
       {"memory_bytes_per_instance_times_worker", ToJson(Fit(memory))},
       {"core_share_per_worker_counted_a_second", ToJson(Fit(core))},
-      {"socket_seconds_per_datagram", per_datagram}};
+      {"socket_seconds_per_datagram", per_datagram},
+      {"submit_frame_of_1_task", ToJson(SubmitFrameCost(1))},
+      {"submit_frame_of_260_tasks",
+       ToJson(SubmitFrameCost(config::kMaxTasksPerJob))}};
   const nlohmann::json all = {{"cells", cells}, {"slopes", slopes}};
   std::cout << (json ? all : slopes).dump(2) << '\n';
   return check && !good ? 1 : 0;
