--- a/tools/bench_cost.cc
+++ b/tools/bench_cost.cc
@@ -62,7 +62,7 @@
     left.push_back(kTasksPerJob);
     parts->queue_.Add({++last_job}, team, now, now + Duration{5000}, expected);
   };
-  for (uint16_t t = 0; t < teams; ++t) add({t});
+  for (uint32_t t = 0; t < teams; ++t) add({static_cast<uint16_t>(t)});
   for (uint32_t i = 0; i < tasks; ++i) {
     now = now + Duration{1};
     parts->workers_.Tick(now);
--- a/tools/bench_decisions.cc
+++ b/tools/bench_decisions.cc
@@ -188,6 +188,7 @@
           {"worst", r.Quantile(1)},
           {"failed", r.failed_},
           {"refused", r.refused_},
+          {"refused_late", r.refused_late_},
           {"slowest_refusal_ms", r.slowest_refusal_ / kMilli},
           {"in_time_in_burst", r.in_time_in_burst_},
           {"unused_starts", r.PerUsefulStart(r.starts_ - r.useful_starts_)},
@@ -197,21 +198,22 @@
 }
 
 void PrintTable(const std::vector<Row>& rows) {
-  std::printf("%-22s %-18s %6s %6s %6s %6s %6s %6s %7s %7s %7s %7s\n",
+  std::printf("%-22s %-18s %6s %6s %6s %6s %6s %6s %6s %7s %7s %7s %7s\n",
               "scenario", "policy", "jobs", "p50", "p99", "worst", "failed",
-              "refuse", "in-time", "unused", "waited", "reports");
+              "refuse", "late", "in-time", "unused", "waited", "reports");
   for (const Row& row : rows) {
     const Result& r = row.result_;
     std::printf(
-        "%-22s %-18s %6lu %6.3f %6.3f %6.2f %6lu %6lu %7lu %7.4f %7.4f "
+        "%-22s %-18s %6lu %6.3f %6.3f %6.2f %6lu %6lu %6lu %7lu %7.4f %7.4f "
         "%7.4f\n",
         row.scenario_.c_str(), row.policy_.c_str(), r.jobs_, r.Quantile(0.5),
-        r.Quantile(0.99), r.Quantile(1), r.failed_, r.refused_,
+        r.Quantile(0.99), r.Quantile(1), r.failed_, r.refused_, r.refused_late_,
         r.in_time_in_burst_, r.PerUsefulStart(r.starts_ - r.useful_starts_),
         r.PerUsefulStart(r.queued_at_workers_), r.PerUsefulStart(r.reports_));
   }
   std::printf(
-      "p50, p99, worst: response over ideal of complete jobs. unused, waited, "
+      "p50, p99, worst: response over ideal of complete jobs. late: refused "
+      "after over 50 ms. unused, waited, "
       "reports: for each\nuseful start, tasks whose answer did not count, "
       "tasks that found their worker full, load\nreports. in-time: jobs of "
       "the burst complete by their deadline.\n");
--- a/tools/bench_run.h
+++ b/tools/bench_run.h
@@ -21,6 +21,9 @@
   uint32_t total_slots() const { return workers_ * slots_; }
 };
 
+/// A refused caller is to be answered within this.
+inline constexpr Micros kPromptRefusal = 50 * kMilli;
+
 /// Messages and answers of the counted jobs of one run.
 struct Result {
   std::vector<double> ratios_;  ///< Response over ideal of complete jobs.
@@ -29,6 +32,7 @@
   uint64_t in_time_in_burst_ = 0;  ///< Complete by their deadline.
   uint64_t failed_ = 0;
   uint64_t refused_ = 0;
+  uint64_t refused_late_ = 0;  ///< After more than `kPromptRefusal`.
   Micros slowest_refusal_ = 0;
   uint64_t starts_ = 0;
   uint64_t useful_starts_ = 0;  ///< Of complete jobs.
@@ -224,6 +228,7 @@
         break;
       case Outcome::kNotRun:
         ++result_.refused_;
+        if (response > kPromptRefusal) ++result_.refused_late_;
         result_.slowest_refusal_ = std::max(result_.slowest_refusal_, response);
         break;
       case Outcome::kMayHaveRun:
