--- a/src/dispatcher_admission.cc
+++ b/src/dispatcher_admission.cc
@@ -13,6 +13,10 @@
   return Digest(message.job_);
 }
 
+/// Expected waits are taken this much longer, since what was admitted has to
+/// end in time although run times are estimates.
+constexpr int64_t kWaitMarginPercent = 125;
+
 Duration Over(Duration work, uint32_t slots) {
   return {work.ms_ / std::max<int64_t>(slots, 1)};
 }
@@ -141,9 +145,7 @@
   job->deadline_ = now + DeadlineOf(spec, team);
   job->spec_ = std::make_shared<const JobSpec>(spec);
   Describe(spec, job);
-  refusal = CheckDeadline(*job, now);
-  const bool may_forward = refusal && !message.foreign_execution_;
-  if (may_forward && ForwardAbroad(job, now, out)) refusal.reset();
+  refusal = Place(message, job, now, out);
   if (refusal) {
     jobs_.Remove(job_id);
     Reject(message.request_, id, digest, team, *refusal, out);
@@ -159,6 +161,18 @@
   if (!job->forward_.valid()) Enqueue(job, now);
 }
 
+std::optional<Dispatcher::Impl::Refusal> Dispatcher::Impl::Place(
+    const Submit& message, Job* job, Time now, Outbox* out) {
+  const std::optional<Refusal> unfit = CheckDeadline(*job, now);
+  // What runs here for a peer was counted there, and goes no further.
+  if (message.foreign_execution_) return unfit;
+  if (unfit && !MayForwardAbroad(*job)) return unfit;
+  const std::optional<Refusal> limited = TakeStarts(*job, now);
+  if (limited) return limited;
+  if (unfit) ForwardAbroad(job, now, out);
+  return std::nullopt;
+}
+
 std::optional<Dispatcher::Impl::Refusal> Dispatcher::Impl::CheckShape(
     const JobSpec& spec) const {
   if (cut_) return Refusal{Errc::kDraining, kDefaultRetryAfter};
@@ -191,6 +205,7 @@
 }
 
 void Dispatcher::Impl::Describe(const JobSpec& spec, Job* job) {
+  Duration high;
   job->tasks_.resize(spec.tasks_.size());
   for (size_t i = 0; i < spec.tasks_.size(); ++i) {
     const TaskSpec& described = spec.tasks_[i];
@@ -199,25 +214,35 @@
     task.expected_ = run_times_.Expect(task.kind_, described.declared_run_);
     job->longest_ = std::max(job->longest_, task.expected_);
     job->total_ = job->total_ + task.expected_;
+    high = std::max(high,
+                    run_times_.ExpectHigh(task.kind_, described.declared_run_));
   }
+  // A poor upper estimate may not eat up the time to wait.
+  const Duration half{(job->deadline_ - job->arrival_).ms_ / 2};
+  job->reserve_ = std::max(job->longest_, std::min(high, half));
 }
 
 std::optional<Dispatcher::Impl::Refusal> Dispatcher::Impl::CheckDeadline(
     const Job& job, Time now) const {
+  const Duration left = job.deadline_ - now;
+  if (job.longest_ > left) return Refusal{Errc::kDeadlineTooShort, {}};
   if (workers_.placeable() == 0) {
     if (workers_.size() == 0 || !workers_may_return_) {
       return Refusal{Errc::kNoWorkers, kDefaultRetryAfter};
     }
     return std::nullopt;
   }
-  if (ExpectedFinish(job, now) <= job.deadline_ - now) return std::nullopt;
-  return Refusal{Errc::kDeadlineTooShort, RetryAfter()};
+  if (ExpectedFinish(job, now) <= left) return std::nullopt;
+  const bool blocked = teams_[job.team_.value_].blocked_;
+  return Refusal{blocked ? Errc::kQuotaExceeded : Errc::kDeadlineTooShort,
+                 RetryAfter()};
 }
 
 Duration Dispatcher::Impl::ExpectedFinish(const Job& job, Time now) const {
-  const uint32_t slots = SlotsToCountOn();
+  const uint32_t slots = SlotsToCountOn(job.team_);
   const Duration ahead = queue_.BacklogAhead(job.team_, now, job.total_);
-  return Over(ahead, slots) + std::max(job.longest_, Over(job.total_, slots));
+  const Duration wait{Over(ahead, slots).ms_ * kWaitMarginPercent / 100};
+  return wait + std::max(job.reserve_, Over(job.total_, slots));
 }
 
 uint32_t Dispatcher::Impl::SlotsToCountOn() const {
@@ -226,6 +251,12 @@
   return std::min(slots, workers_.usable_slots());
 }
 
+uint32_t Dispatcher::Impl::SlotsToCountOn(TeamHandle handle) const {
+  const Team& team = teams_[handle.value_];
+  const uint32_t slots = SlotsToCountOn();
+  return team.blocked_ ? std::min(slots, team.running_) : slots;
+}
+
 Duration Dispatcher::Impl::RetryAfter() const {
   return std::clamp(Over(queue_.backlog(), SlotsToCountOn()),
                     config::kMinRetryAfter, config::kMaxRetryAfter);
@@ -280,6 +311,7 @@
   expected.reserve(job->tasks_.size());
   for (const Task& task : job->tasks_) expected.push_back(task.expected_);
   queue_.Add(job->id_, job->team_, now, job->deadline_, expected);
+  TellWaiting(job->team_);
   job->wake_ = job->latest_start();
   job_timers_.insert(*job);
 }
--- a/src/dispatcher_jobs.cc
+++ b/src/dispatcher_jobs.cc
@@ -25,6 +25,10 @@
     if (!next) return;
     Job* job = jobs_.Find(next->job_);
     const Task& task = job->tasks_[next->index_];
+    if (!MayStart(job->team_, now)) {
+      queue_.Return(*next, task.expected_);
+      continue;
+    }
     const WorkerHandle worker = PickAvoiding(task.avoid_, best);
     if (!worker.valid()) {
       queue_.Return(*next, task.expected_);
@@ -57,6 +61,7 @@
   ++stats_.task_starts_;
   if (++job->started_ == 1) SetTimer(job);
   workers_.OnStart(worker);
+  CountStart(job->team_);
 
   StartTask start;
   start.attempt_ = task.attempt_;
@@ -72,9 +77,8 @@
 Duration Dispatcher::Impl::TaskTimeout(const Job& job, const Task& task,
                                        Time now) const {
   const ServiceSettings& service = settings_->service_;
-  const size_t index = &task - job.tasks_.data();
-  const Duration high =
-      run_times_.ExpectHigh(task.kind_, job.spec_->tasks_[index].declared_run_);
+  const auto index = static_cast<uint16_t>(&task - job.tasks_.data());
+  const Duration high = HighEstimate(job, index);
   const Duration timeout = std::max(service.min_task_timeout_,
                                     Scaled(high, service.timeout_factor_));
   return std::clamp(timeout, Duration{1}, job.deadline_ - now);
@@ -89,6 +93,7 @@
   Task& task = job->tasks_[attempt.index_];
   attempts_.Remove(message.attempt_);
   task.attempt_ = {};
+  CountEnd(job->team_);
   if (message.worker_leaving_) health_.OnLeaving(attempt.worker_, now);
   switch (message.verdict_) {
     case Verdict::kAnswered:
@@ -105,11 +110,16 @@
   }
 }
 
-void Dispatcher::Impl::ReleaseWorker(const Attempt& attempt, const Task& task,
-                                     Time now, bool hold) {
+Duration Dispatcher::Impl::HighEstimate(const Job& job, uint16_t index) const {
+  const Duration declared = job.spec_->tasks_[index].declared_run_;
+  return run_times_.ExpectHigh(job.tasks_[index].kind_, declared);
+}
+
+// The slot counts as used until the attempt is `busy` old.
+void Dispatcher::Impl::ReleaseWorker(const Attempt& attempt, Time now,
+                                     Duration busy) {
   const Duration elapsed = now - attempt.sent_;
-  const Duration left = std::max(task.expected_ - elapsed, Duration{0});
-  workers_.OnEnd(attempt.worker_, now, hold ? left : Duration{0});
+  workers_.OnEnd(attempt.worker_, now, std::max(busy - elapsed, Duration{0}));
 }
 
 void Dispatcher::Impl::EndAnswered(Job* job, const Attempt& attempt,
@@ -121,7 +131,7 @@
   health_.OnAnswered(attempt.worker_, task.kind_, now);
   workers_.OnServiceTime(attempt.worker_, run, task.expected_);
   run_times_.Observe(task.kind_, spec.declared_run_, run);
-  ReleaseWorker(attempt, task, now, false);
+  ReleaseWorker(attempt, now, Duration{0});
 
   const uint64_t bytes = BufferedBytes(answer);
   const bool fits = job->answer_bytes_ + bytes <= config::kMaxJobAnswerBytes;
@@ -144,9 +154,12 @@
                                  Outbox* out) {
   Task& task = job->tasks_[attempt.index_];
   health_.OnFailed(attempt.worker_, task.kind_, now);
-  ReleaseWorker(attempt, task, now, true);
-  task.phase_ = TaskPhase::kLost;
   const bool failed = message.verdict_ == Verdict::kFailed;
+  // After a lost answer the worker may go on with the task.
+  const Duration busy =
+      failed ? task.expected_ : HighEstimate(*job, attempt.index_);
+  ReleaseWorker(attempt, now, busy);
+  task.phase_ = TaskPhase::kLost;
   std::error_code error = message.error_;
   if (!error) error = failed ? Errc::kWorkerFailed : Errc::kWorkerLinkLost;
   if (failed && job->spec_->passthrough_) {
@@ -166,7 +179,7 @@
     ++stats_.connects_failed_;
     health_.OnUnreachable(attempt.worker_, attempt.sent_, now);
   }
-  ReleaseWorker(attempt, task, now, false);
+  ReleaseWorker(attempt, now, Duration{0});
   task.phase_ = TaskPhase::kWaiting;
   task.avoid_ = attempt.worker_;
   if (--job->started_ == 0) SetTimer(job);
@@ -198,7 +211,9 @@
     if (task.phase_ != TaskPhase::kRunning) continue;
     const Attempt attempt = *attempts_.Find(task.attempt_);
     attempts_.Remove(task.attempt_);
-    ReleaseWorker(attempt, task, now, true);
+    CountEnd(job->team_);
+    // The worker may go on with it.
+    ReleaseWorker(attempt, now, HighEstimate(*job, attempt.index_));
     out->emplace_back(AbandonAttempt{task.attempt_});
   }
   if (Forward* forward = forwards_.Find(job->forward_)) {
@@ -258,6 +273,7 @@
     submissions_.Finish(*job->submission_, job->team_, std::move(answer));
   }
   queue_.Remove(job->id_);
+  TellWaiting(job->team_);
   if (job->timer_.is_linked()) {
     job_timers_.erase(job_timers_.iterator_to(*job));
   }
