--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -48,7 +48,10 @@
 /// One run of `gentiandeal settings`.
 struct CommandRun {
   int exit_ = -1;
-  nlohmann::json output_;
+  std::string text_;
+  nlohmann::json output() const {
+    return nlohmann::json::parse(text_, nullptr, false);
+  }
 };
 
 CommandRun RunCommand(std::vector<std::string> words) {
@@ -56,9 +59,8 @@
   words.emplace_back("--json");
   Process process("gentiandeal", words);
   CommandRun run;
-  const std::string output = process.ReadOutput();
+  run.text_ = process.ReadOutput();
   run.exit_ = process.WaitExit();
-  run.output_ = nlohmann::json::parse(output, nullptr, false);
   return run;
 }
 
@@ -282,26 +284,26 @@
   BOOST_TEST(ApplyBranch(&platform, "care", good).exit_ == 0);
   const CommandRun refused = ApplyBranch(&platform, "care", broken);
   BOOST_TEST(refused.exit_ == 1);
-  BOOST_TEST(refused.output_["faults"].size() == 2);
+  BOOST_TEST(refused.output()["faults"].size() == 2);
   const CommandRun orphan = ApplyBranch(&platform, "desk/day", good);
   BOOST_TEST(orphan.exit_ == 1);
 
   platform.Control("faults", {{"lose_reply", 1}});
   const CommandRun lost = ApplyBranch(&platform, "care", better);
   BOOST_TEST(lost.exit_ == 0);
-  BOOST_TEST(lost.output_["revision"] == 2);
+  BOOST_TEST(lost.output()["revision"] == 2);
   CheckAudit(platform.address(), 2);
 
   const std::string at = ToString(platform.address());
   const CommandRun shown =
       RunCommand({"show", "--platform", at, "--branch", "care"});
-  BOOST_TEST(shown.output_["values"][0]["value"] == "3");
-  BOOST_TEST(shown.output_["values"][0]["origin"] == "care");
+  BOOST_TEST(shown.output()["values"][0]["value"] == "3");
+  BOOST_TEST(shown.output()["values"][0]["origin"] == "care");
   const CommandRun last =
       RunCommand({"history", "--platform", at, "--count", "1"});
-  BOOST_TEST(last.output_["who"] == "Maëlle");
-  BOOST_TEST(last.output_["before"] == Weight(2));
-  BOOST_TEST(last.output_["id"] == lost.output_["change"]);
+  BOOST_TEST(last.output()["who"] == "Maëlle");
+  BOOST_TEST(last.output()["before"] == Weight(2));
+  BOOST_TEST(last.output()["id"] == lost.output()["change"]);
 
   // An instance is listed and can't be asked: its revision may be higher.
   platform.List("gentiandeal", {"127.0.0.1", 1}, nlohmann::json::object(),
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -1,8 +1,10 @@
 #include "settings.h"
 
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
 
 #include "boot_settings.h"
+#include "job_json.h"
 
 namespace gentiandeal {
 namespace {
@@ -162,6 +164,41 @@
   BOOST_TEST((init.callers_ == before));
 }
 
+BOOST_AUTO_TEST_CASE(ExamplesAreValidAndTheirGuardsAreOff) {
+  const auto examples =
+      std::filesystem::path(__FILE__).parent_path() / "../../examples";
+  int jobs = 0;
+  for (const char* name : {"armor", "salvavidas"}) {
+    const auto folder = examples / name;
+    Settings tree;
+    Diagnostics faults;
+    BOOST_REQUIRE(!LoadSettings(folder / "settings", &tree, &faults));
+    BOOST_TEST(!tree.service_.ejection_);
+    for (const TeamSettings& team : tree.teams_) {
+      BOOST_TEST(team.task_quota_ == 0);
+      BOOST_TEST(team.starts_per_second_ == 0);
+    }
+    for (const auto& boot :
+         std::filesystem::directory_iterator(folder / "boot")) {
+      Init init;
+      BOOST_TEST(!LoadBootSettings(boot.path(), &init, &faults));
+      BOOST_TEST(init.data_centre_ == boot.path().stem());
+      BOOST_TEST(std::filesystem::is_directory(init.settings_file_));
+    }
+    for (const auto& file :
+         std::filesystem::directory_iterator(folder / "jobs")) {
+      std::string text;
+      std::string detail;
+      JobSpec job;
+      BOOST_REQUIRE(!ReadTextFile(file.path(), &text));
+      BOOST_TEST(!ParseJob(text, &job, &detail), detail);
+      BOOST_TEST(tree.FindTeam(job.team_).valid());
+      ++jobs;
+    }
+  }
+  BOOST_TEST(jobs == 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace gentiandeal
