Refuse a directory in place of a settings file

Cause: reading a directory as a file gave an empty text and no error, so that a folder named x.ini counted as a branch. Ruled out: the stream's own error bits, which an empty file sets as well. Before: settings check of such a tree ended with 0; after: with 1 and the path.

--- a/src/ini_reader.cc
+++ b/src/ini_reader.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -193,6 +194,10 @@
 }
 
 std::error_code ReadTextFile(const std::string& path, std::string* out) {
+  std::error_code ignored;
+  if (std::filesystem::is_directory(path, ignored)) {
+    return std::make_error_code(std::errc::is_a_directory);
+  }
   std::ifstream file(path, std::ios::binary);
   if (!file) return {errno, std::generic_category()};
   std::ostringstream text;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -310,27 +310,31 @@
     faults->push_back(FileFault(directory, error));
     return Errc::kBadSettings;
   }
-  for (const auto& item : files) {
-    if (!item.is_regular_file() || item.path().extension() != ".ini") continue;
+  const std::filesystem::recursive_directory_iterator end;
+  for (; !error && files != end; files.increment(error)) {
+    const std::filesystem::path& path = files->path();
+    if (path.extension() != ".ini") continue;
     std::string text;
-    error = ReadTextFile(item.path().string(), &text);
-    if (error) faults->push_back(FileFault(item.path().string(), error));
-    (*out)[BranchOfFile(directory, item.path())] = std::move(text);
+    const std::error_code fault = ReadTextFile(path.string(), &text);
+    if (fault) faults->push_back(FileFault(path.string(), fault));
+    (*out)[BranchOfFile(directory, path)] = std::move(text);
   }
+  if (error) faults->push_back(FileFault(directory, error));
   if (!faults->empty()) return Errc::kBadSettings;
   return {};
 }
 
 std::error_code LoadSettings(const std::string& path, Settings* out,
                              Diagnostics* faults) {
-  if (std::filesystem::is_directory(path)) {
+  std::error_code error;
+  if (std::filesystem::is_directory(path, error)) {
     BranchTexts texts;
-    const std::error_code error = ReadBranchFiles(path, &texts, faults);
+    error = ReadBranchFiles(path, &texts, faults);
     if (error) return error;
     return ParseSettingsTree(texts, {}, out, faults);
   }
   std::string text;
-  const std::error_code error = ReadTextFile(path, &text);
+  error = ReadTextFile(path, &text);
   if (error) {
     faults->push_back(FileFault(path, error));
     return Errc::kBadSettings;
