Split team uses and link state from the two largest peer files

While moving it, team uses turned out to be forgotten on new settings until they changed; the guards now tell them anew, and the test of new settings checks it. A socket that could not be given to a buffer is closed.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -1,14 +1,14 @@
 #include "membership.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <map>
 #include <string>
-#include <unordered_map>
 
 #include "load_report.h"
+#include "peer_record.h"
 #include "peer_wire.h"
+#include "team_use_report.h"
 
 namespace gentiandeal {
 namespace {
@@ -28,8 +28,6 @@
 constexpr Duration kRefreshInterval{5000};
 /// A peer that is neither listed nor a seed is forgotten after this silence.
 constexpr Duration kForgetAfter{600 * 1000};
-/// Time for which a team's use of nothing is repeated.
-constexpr Duration kZeroUseRepeat{10000};
 /// Shortest time between views that differ in free slots alone.
 constexpr Duration kFreeSlotsGap{100};
 /// Peers of each other data centre told of a new revision at once.
@@ -50,45 +48,6 @@
   return static_cast<T>(std::min(value, kMax));
 }
 
-uint32_t Whole(CoarseNumber number) {
-  return static_cast<uint32_t>(std::lround(number.Value()));
-}
-
-struct Peer {
-  Address address_;
-  std::string data_centre_;
-  bool listed_ = false;
-  bool seed_ = false;
-  bool leaving_listed_ = false;
-  bool live_ = false;
-  bool draining_ = false;
-  bool needs_full_ = true;  ///< Was not told all counts yet.
-  bool wants_reply_ = false;
-  Incarnation incarnation_;
-  std::vector<Incarnation> replaced_;
-  uint32_t last_sequence_ = 0;
-  Duration interval_ = kHeartbeatInterval;  ///< As the peer last said.
-  Duration probe_interval_ = kFirstProbe;
-  Time last_heard_;
-  Time live_until_;
-  Time next_state_;
-  Time last_reply_{-kReplyGap.ms_};
-  NameHash worker_list_;
-  uint32_t free_slots_ = 0;
-  std::vector<uint8_t> counts_;  ///< Its slots in use, by rank here.
-};
-
-/// Own use of one team, to be told and repeated.
-struct OwnUse {
-  TeamUse use_;
-  bool pending_ = true;  ///< Not yet in a load report.
-  Time zero_until_;      ///< Repeated until then once it is zero.
-};
-
-bool IsZero(const TeamUse& use) {
-  return use.running_ == 0 && use.waiting_ == 0 && use.starts_per_second_ <= 0;
-}
-
 }  // namespace
 
 class Membership::Impl {
@@ -132,20 +91,7 @@
     }
   }
 
-  void SetSettings(const Settings& settings) {
-    hash_of_team_.clear();
-    team_of_hash_.clear();
-    own_uses_.clear();
-    for (size_t i = 0; i < settings.teams_.size(); ++i) {
-      const auto hash =
-          static_cast<uint16_t>(HashName(settings.teams_[i].name_).value_);
-      hash_of_team_.push_back(hash);
-      const TeamHandle team{static_cast<uint16_t>(i)};
-      const bool added = team_of_hash_.emplace(hash, team).second;
-      // Teams that collide are not reported: they keep their equal parts.
-      if (!added) team_of_hash_[hash] = TeamHandle();
-    }
-  }
+  void SetSettings(const Settings& settings) { uses_.SetSettings(settings); }
 
   void OnDatagram(const Address& from, std::string_view bytes, Time now,
                   PeerEvents* out) {
@@ -170,7 +116,7 @@
             PeerEvents* out) {
     NoticePause(now);
     Refill();
-    TakeUses(load, now);
+    uses_.Take(load.team_uses_, now);
     NoticeOwnChanges(load, now);
     load_ = load;
     load_.team_uses_.clear();
@@ -213,6 +159,9 @@
     if (peers_.size() >= config::kMaxPeers && !EvictOne()) return nullptr;
     Peer& peer = peers_[address];
     peer.address_ = address;
+    peer.interval_ = kHeartbeatInterval;
+    peer.probe_interval_ = kFirstProbe;
+    peer.last_reply_ = now - kReplyGap;
     peer.last_heard_ = now;
     peer.next_state_ = now;
     peer.counts_.resize(report_.size());
@@ -337,12 +286,8 @@
   void TakePeerUses(const Peer& peer, const std::vector<WireTeamUse>& uses,
                     PeerEvents* out) const {
     for (const WireTeamUse& use : uses) {
-      const auto found = team_of_hash_.find(use.team_);
-      if (found == team_of_hash_.end() || !found->second.valid()) continue;
-      out->push_back(
-          PeerTeamUse{peer.incarnation_,
-                      {found->second, Whole(use.running_), Whole(use.waiting_),
-                       use.starts_per_second_.Value()}});
+      const std::optional<TeamUse> read = uses_.Read(use);
+      if (read) out->push_back(PeerTeamUse{peer.incarnation_, *read});
     }
   }
 
@@ -373,19 +318,6 @@
         std::min(most, tokens_ + per_ms * static_cast<double>(elapsed_.ms_));
   }
 
-  bool Reported(TeamHandle team) const {
-    if (team.value_ >= hash_of_team_.size()) return false;
-    return team_of_hash_.at(hash_of_team_[team.value_]) == team;
-  }
-
-  void TakeUses(const OwnLoad& load, Time now) {
-    for (const TeamUse& use : load.team_uses_) {
-      if (!Reported(use.team_)) continue;
-      own_uses_[use.team_] = {use, true, now + kZeroUseRepeat};
-      uses_pending_ = true;
-    }
-  }
-
   void NoticeOwnChanges(const OwnLoad& load, Time now) {
     const bool newer = load.revision_ != load_.revision_;
     const bool draining = load.draining_ != load_.draining_;
@@ -445,29 +377,6 @@
                       kMaxHeartbeatInterval);
   }
 
-  /// Uses to repeat in a heartbeat: a few, in turn.
-  std::vector<WireTeamUse> NextUses(Time now) {
-    std::erase_if(own_uses_, [now](const auto& entry) {
-      return IsZero(entry.second.use_) && now > entry.second.zero_until_;
-    });
-    std::vector<WireTeamUse> uses;
-    const size_t count = std::min(own_uses_.size(), kMaxTeamsPerDatagram);
-    auto entry = own_uses_.upper_bound(last_use_told_);
-    while (uses.size() < count) {
-      if (entry == own_uses_.end()) entry = own_uses_.begin();
-      uses.push_back(ToWire(entry->second.use_));
-      last_use_told_ = entry->first;
-      ++entry;
-    }
-    return uses;
-  }
-
-  WireTeamUse ToWire(const TeamUse& use) const {
-    return {hash_of_team_[use.team_.value_], CoarseNumber::From(use.running_),
-            CoarseNumber::From(use.waiting_),
-            CoarseNumber::From(use.starts_per_second_)};
-  }
-
   void SendStates(Time now, PeerEvents* out) {
     const Duration own_interval = HeartbeatInterval(true);
     const Duration remote_interval = HeartbeatInterval(false);
@@ -485,7 +394,7 @@
           Saturate<uint16_t>(static_cast<uint32_t>(interval.ms_));
       state.draining_ = load_.draining_;
       state.wants_reply_ = !peer.live_ || peer.wants_reply_;
-      if (peer.live_) state.teams_ = NextUses(now);
+      if (peer.live_) state.teams_ = uses_.NextRepeated(now);
       peer.wants_reply_ = false;
       const std::string bytes = Encode(state);
       state_bytes_ = static_cast<double>(bytes.size() + kHeaderBytes);
@@ -513,7 +422,7 @@
   bool ReportDue(Time now, size_t receivers) const {
     if (receivers == 0) return false;
     if (RefreshDue(now)) return true;
-    if (someone_needs_full_ || uses_pending_) return true;
+    if (someone_needs_full_ || uses_.pending()) return true;
     return load_.running_tasks_ != reported_running_ ||
            load_.task_starts_ != reported_starts_ ||
            load_.queued_tasks_ != reported_queued_;
@@ -536,7 +445,7 @@
     reported_running_ = load_.running_tasks_;
     reported_starts_ = load_.task_starts_;
     reported_queued_ = load_.queued_tasks_;
-    if (!report_.changed() && !queue_changed && !uses_pending_ && !refresh &&
+    if (!report_.changed() && !queue_changed && !uses_.pending() && !refresh &&
         !someone_needs_full_) {
       return;
     }
@@ -554,7 +463,7 @@
     LoadDatagram base;
     base.head_ = NextHead();
     base.queued_tasks_ = Saturate<uint16_t>(load_.queued_tasks_);
-    base.teams_ = TakePendingUses();
+    base.teams_ = uses_.TakePending();
     LoadDatagram changes = base;
     report_.FillChanges(&changes);
     LoadDatagram all = base;
@@ -594,21 +503,6 @@
     } while (next < entries.size());
   }
 
-  std::vector<WireTeamUse> TakePendingUses() {
-    std::vector<WireTeamUse> uses;
-    uses_pending_ = false;
-    for (auto& [team, own] : own_uses_) {
-      if (!own.pending_) continue;
-      if (uses.size() == kMaxTeamsPerDatagram) {
-        uses_pending_ = true;
-        break;
-      }
-      own.pending_ = false;
-      uses.push_back(ToWire(own.use_));
-    }
-    return uses;
-  }
-
   // The view.
 
   void PublishView(Time now, PeerEvents* out) {
@@ -649,11 +543,7 @@
   MembershipStats stats_;
   std::map<std::string, uint32_t> free_slots_;  ///< By data centre.
 
-  std::vector<uint16_t> hash_of_team_;
-  std::unordered_map<uint16_t, TeamHandle> team_of_hash_;
-  std::map<TeamHandle, OwnUse> own_uses_;
-  TeamHandle last_use_told_;
-  bool uses_pending_ = false;
+  TeamUseReport uses_;
 
   bool has_list_ = false;
   bool view_changed_ = true;
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -7,15 +7,12 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
-#include <boost/intrusive/list.hpp>
 #include <cerrno>
-#include <limits>
 #include <map>
-#include <numeric>
 #include <set>
 #include <unordered_map>
-#include <unordered_set>
 
+#include "peer_link_state.h"
 #include "peer_socket.h"
 #include "peer_wire.h"
 #include "socket_address.h"
@@ -33,68 +30,6 @@
 /// Tries to find one port that is free for TCP and UDP.
 constexpr int kPortTries = 16;
 constexpr uint64_t kPeerRequestBit = uint64_t{1} << 63;
-constexpr uint64_t kNotQueued = std::numeric_limits<uint64_t>::max();
-
-using ListHook = boost::intrusive::list_base_hook<>;
-
-/// One TCP connection to or from a peer.
-struct Link : ListHook {
-  bufferevent* buffer_ = nullptr;
-  void* owner_ = nullptr;
-  bool outgoing_ = false;
-  bool ready_ = false;       ///< The hello was accepted.
-  bool may_submit_ = false;  ///< Accepted from a known peer.
-  bool retired_ = false;     ///< Takes no new forward.
-  Address remote_;
-  Incarnation expected_;
-  uint64_t queued_ = 0;   ///< Bytes given to the buffer since the start.
-  uint64_t written_ = 0;  ///< Bytes that the kernel took of them.
-  Time hello_deadline_;
-  Time last_used_;
-  std::vector<ForwardId> waiting_;  ///< Forwards that wait for the hello.
-  std::unordered_set<uint64_t> forwards_;
-  std::multiset<Time> pulls_;  ///< Deadlines of open pulls.
-  std::unordered_map<uint64_t, RequestId> requests_;  ///< By forward id.
-};
-
-struct Forward {
-  Link* link_ = nullptr;
-  uint64_t start_ = kNotQueued;  ///< Offset of its first byte in the stream.
-  Time deadline_;
-  std::string frame_;  ///< Kept until the hello is accepted.
-};
-
-struct Request {
-  Link* link_ = nullptr;
-  ForwardId forward_;
-};
-
-JobAnswer NotHandedOver(Errc error) {
-  JobAnswer answer;
-  answer.outcome_ = Outcome::kNotRun;
-  answer.error_ = error;
-  return answer;
-}
-
-JobAnswer Uncertain() {
-  JobAnswer answer;
-  answer.outcome_ = Outcome::kMayHaveRun;
-  answer.error_ = Errc::kPeerLinkLost;
-  answer.started_known_ = false;
-  return answer;
-}
-
-/// Stands for a complete answer that no frame can carry.
-JobAnswer TooLarge(const JobAnswer& answer) {
-  JobAnswer replacement;
-  replacement.outcome_ = Outcome::kMayHaveRun;
-  replacement.error_ = Errc::kAnswerTooLarge;
-  replacement.started_.resize(answer.tasks_.size());
-  std::iota(replacement.started_.begin(), replacement.started_.end(),
-            uint16_t{0});
-  return replacement;
-}
-
 void SetOptions(evutil_socket_t fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -267,8 +202,12 @@
     }
     SocketAddress target;
     if (ToSocketAddress(address, &target)) return nullptr;
-    Link* link = Add(BoundSocket());
-    if (link == nullptr) return nullptr;
+    const evutil_socket_t fd = BoundSocket();
+    Link* link = Add(fd);
+    if (link == nullptr) {
+      if (fd >= 0) evutil_closesocket(fd);
+      return nullptr;
+    }
     link->outgoing_ = true;
     link->remote_ = address;
     link->expected_ = expected;
--- a/src/team_guards.cc
+++ b/src/team_guards.cc
@@ -75,6 +75,7 @@
   Time decayed_;
   bool fresh_ = true;  ///< No token was counted yet.
   TeamUse told_;
+  bool tell_again_ = false;  ///< Peers are told anew after new settings.
   SettledDemand quota_demand_;
   SettledDemand rate_demand_;
   std::unordered_map<uint64_t, PeerUse> peers_;  ///< By incarnation.
@@ -102,6 +103,7 @@
       team.quota_ = branch.task_quota_;
       team.rate_ = branch.starts_per_second_;
       team.summed_ = false;
+      team.tell_again_ = true;
       teams_.push_back(std::move(team));
     }
     any_ = std::any_of(teams_.begin(), teams_.end(),
@@ -195,7 +197,10 @@
       const bool same = use.running_ == team.told_.running_ &&
                         use.waiting_ == team.told_.waiting_ &&
                         use.starts_per_second_ == team.told_.starts_per_second_;
-      if (same) continue;
+      const bool nothing =
+          use.running_ == 0 && use.waiting_ == 0 && use.starts_per_second_ <= 0;
+      if (same && (nothing || !team.tell_again_)) continue;
+      team.tell_again_ = false;
       team.told_ = use;
       team.quota_demand_.Told(use.running_ + use.waiting_, now);
       team.rate_demand_.Told(use.starts_per_second_, now);
--- a/tests/unit/team_guards_test.cc
+++ b/tests/unit/team_guards_test.cc
@@ -192,11 +192,18 @@
   guards.OnStart(kTeam);
   guards.OnStart(kTeam);
   BOOST_TEST(!guards.MayRun(kTeam, Time{1}));
+  BOOST_TEST(guards.TakeChanges(Time{1}).size() == 1U);
+  BOOST_TEST(guards.TakeChanges(Time{2}).empty());
   Settings moved = MakeSettings(2, 0);
   moved.teams_.insert(moved.teams_.begin() + 1, TeamSettings{});
   moved.teams_[1].name_ = "board";
   guards.SetSettings(moved);
   BOOST_TEST(!guards.MayRun(TeamHandle{2}, Time{1}));
+  // Peers are told anew, by the place in the new settings.
+  const std::vector<TeamUse> told = guards.TakeChanges(Time{3});
+  BOOST_REQUIRE(told.size() == 1U);
+  BOOST_TEST((told[0].team_ == TeamHandle{2}));
+  BOOST_TEST(told[0].running_ == 2U);
   BOOST_TEST(guards.MayRun(kTeam, Time{1}));
 }
 
