Name the records of peer links apart from the dispatcher's

Cause: two different structs gentiandeal::Request (and Forward) in two headers broke the one-definition rule; std::unordered_map<uint64_t, Request> was linked once, with the smaller one, and the dispatcher wrote past its nodes. Ruled out: the dispatcher's own list handling (address sanitizer shows the write in Wait() at a node allocated by the map's other instantiation). Conclusion: names at namespace scope in headers must be unique; the process tests catch the effect, unit tests alone did not.

--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -102,7 +102,7 @@
     if (link == nullptr) {
       return Refuse(forward.forward_, Errc::kOwnerUnreachable);
     }
-    Forward& entry = forwards_[forward.forward_.value_];
+    LinkForward& entry = forwards_[forward.forward_.value_];
     entry.link_ = link;
     entry.deadline_ = clock_.Now() + forward.timeout_;
     deadlines_.emplace(entry.deadline_, forward.forward_.value_);
@@ -128,7 +128,7 @@
   void On(const SendAnswer& message) {
     const auto found = requests_.find(message.request_.value_);
     if (found == requests_.end()) return;
-    const Request request = found->second;
+    const LinkRequest request = found->second;
     requests_.erase(found);
     request.link_->requests_.erase(request.forward_.value_);
     WriteAnswer(request.link_, request.forward_, *message.answer_);
@@ -153,7 +153,7 @@
   const PeerLinkStats& stats() const { return stats_; }
 
  private:
-  using ForwardMap = std::unordered_map<uint64_t, Forward>;
+  using ForwardMap = std::unordered_map<uint64_t, LinkForward>;
 
   // Events to the owner.
 
@@ -180,7 +180,7 @@
   }
 
   void Forget(ForwardMap::iterator found) {
-    Forward& forward = found->second;
+    LinkForward& forward = found->second;
     if (forward.start_ == kNotQueued) {
       buffered_ -= forward.frame_.size();
       std::erase(forward.link_->waiting_, ForwardId{found->first});
@@ -298,7 +298,7 @@
     bufferevent_write(link->buffer_, bytes.data(), bytes.size());
   }
 
-  void WriteForward(Forward* forward) {
+  void WriteForward(LinkForward* forward) {
     forward->start_ = forward->link_->queued_;
     buffered_ -= forward->frame_.size();
     Write(forward->link_, forward->frame_);
@@ -555,7 +555,7 @@
   size_t buffered_ = 0;  ///< Bytes not yet taken by the kernel.
   ForwardMap forwards_;
   std::set<std::pair<Time, uint64_t>> deadlines_;
-  std::unordered_map<uint64_t, Request> requests_;
+  std::unordered_map<uint64_t, LinkRequest> requests_;
   uint64_t last_request_ = 0;
   SettingsDocument document_;
   std::vector<PeerLinkEvent> events_;
--- a/src/peer_link_state.h
+++ b/src/peer_link_state.h
@@ -40,14 +40,14 @@
   std::unordered_map<uint64_t, RequestId> requests_;  ///< By forward id.
 };
 
-struct Forward {
+struct LinkForward {
   Link* link_ = nullptr;
   uint64_t start_ = kNotQueued;  ///< Offset of its first byte in the stream.
   Time deadline_;
   std::string frame_;  ///< Kept until the hello is accepted.
 };
 
-struct Request {
+struct LinkRequest {
   Link* link_ = nullptr;
   ForwardId forward_;
 };
