--- a/src/dispatcher_guards.cc
+++ b/src/dispatcher_guards.cc
@@ -45,7 +45,8 @@
   if (guards_.MayRun(team.in_settings_, now)) return true;
   team.blocked_ = true;
   queue_.SetBlocked(handle, true);
-  blocked_teams_.push_back(handle);
+  if (!team.watched_) watched_teams_.push_back(handle);
+  team.watched_ = true;
   return false;
 }
 
@@ -63,7 +64,6 @@
   if (!team.blocked_) return;
   team.blocked_ = false;
   queue_.SetBlocked(handle, false);
-  std::erase(blocked_teams_, handle);
 }
 
 void Dispatcher::Impl::TellWaiting(TeamHandle handle) {
@@ -75,14 +75,15 @@
 void Dispatcher::Impl::ReleaseTeams(Time now) {
   const auto released = [&](TeamHandle handle) {
     Team& team = teams_[handle.value_];
-    const bool held =
-        team.in_settings_.valid() && !guards_.MayRun(team.in_settings_, now);
+    const bool held = team.blocked_ && team.in_settings_.valid() &&
+                      !guards_.MayRun(team.in_settings_, now);
     if (held) return false;
     team.blocked_ = false;
+    team.watched_ = false;
     queue_.SetBlocked(handle, false);
     return true;
   };
-  std::erase_if(blocked_teams_, released);
+  std::erase_if(watched_teams_, released);
 }
 
 }  // namespace gentiandeal
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -157,7 +157,7 @@
   TeamGuards guards_;
 
   std::vector<Team> teams_;
-  std::vector<TeamHandle> blocked_teams_;
+  std::vector<TeamHandle> watched_teams_;
   std::unordered_map<std::string, TeamHandle> team_by_name_;
   TeamHandle root_;
 
--- a/src/job.h
+++ b/src/job.h
@@ -21,6 +21,7 @@
   uint32_t jobs_ = 0;
   uint32_t running_ = 0;
   bool blocked_ = false;  ///< At its quota; its tasks wait.
+  bool watched_ = false;  ///< Looked at by each tick until released.
   RetryBudget retries_;
 };
 
