--- a/src/dispatcher_jobs.cc
+++ b/src/dispatcher_jobs.cc
@@ -162,7 +162,8 @@
   task.phase_ = TaskPhase::kLost;
   std::error_code error = message.error_;
   if (!error) error = failed ? Errc::kWorkerFailed : Errc::kWorkerLinkLost;
-  if (failed && job->spec_->passthrough_) {
+  const bool passed_on = failed && job->spec_->passthrough_;
+  if (passed_on && MakeRoom(job->team_, BufferedBytes(message.answer_), 100)) {
     // The caller of a passed-through request gets the worker's own response.
     job->answers_.assign(1, message.answer_);
   }
--- a/tests/unit/random_world.cc
+++ b/tests/unit/random_world.cc
@@ -2,6 +2,8 @@
 
 #include <tuple>
 
+#include "settings.h"
+
 namespace gentiandeal {
 namespace {
 
@@ -69,6 +71,7 @@
       std::make_unique<Dispatcher>(instance.id_, secret, random_());
   instance.paused_until_ = now_;
   ListWorkers(index);
+  SetGuards(index);
   const uint64_t life = instance.life_;
   const auto tick = [this, index, life](const auto& self) -> void {
     Instance& one = instances_[index];
@@ -83,8 +86,26 @@
   tick(tick);
 }
 
+/// Half of the instances have guards on.
+void RandomWorld::SetGuards(size_t index) {
+  if (index % 2 == 0) return;
+  auto settings = std::make_shared<Settings>();
+  settings->service_.ejection_ = true;
+  TeamSettings& root = settings->teams_.emplace_back();
+  root.name_ = std::string(kRootBranch);
+  root.task_quota_ = 4 * kInstances;
+  root.starts_per_second_ = 100 * kInstances;
+  Deliver(index, instances_[index].life_, SettingsChanged{settings});
+}
+
 void RandomWorld::Kill(size_t index) {
   Instance& instance = instances_[index];
+  if (faults_ && instance.paused_until_ <= now_ && Roll(2) == 0) {
+    // Ends at its drain limit rather than at once.
+    Outbox out;
+    instance.dispatcher_->CutAll(now_, &out);
+    Carry(index, &out);
+  }
   const Stats stats = instance.dispatcher_->stats();
   pauses_ += stats.pauses_;
   joined_ += stats.duplicates_joined_;
--- a/tests/unit/random_world.h
+++ b/tests/unit/random_world.h
@@ -105,6 +105,7 @@
   void Start(size_t index);
   void Kill(size_t index);
   void ListWorkers(size_t index);
+  void SetGuards(size_t index);
   void ListPeers(size_t index);
   bool Connected(size_t a, size_t b) const { return a == b || !cut_[a][b]; }
 
