After a pause, drop tasks of which no byte has left before the loop writes

Cause: a task handed to the HTTP client before a SIGSTOP, but not yet written, would be written when the process resumed: the loop served sockets before the tick that sees the gap. Change: the tick has the loop's first priority; unsent attempts end as not sent, and the dispatcher decides again. Conclusion: only bytes already in the kernel can start a task after a pause.

--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -22,8 +22,19 @@
                              ForwardEnded, WorkersListed, PeerLoad,
                              PeersChanged, SettingsChanged, DrainRequested>;
 
+/// The tick goes before all other events of one turn of the loop, so that a
+/// pause is noticed before anything held from before it is written.
+constexpr int kPriorities = 2;
+constexpr int kTickPriority = 0;
+
 constexpr timeval kTick{0, config::kTickInterval.ms_ * 1000};
 
+event_base* NewEventBase() {
+  event_base* base = event_base_new();
+  event_base_priority_init(base, kPriorities);
+  return base;
+}
+
 uint64_t RandomWord() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32) | device();
@@ -50,7 +61,7 @@
  public:
   explicit Impl(const Init& init)
       : init_(init),
-        base_(event_base_new()),
+        base_(NewEventBase()),
         callers_(base_.get(), MakeCallerEvents()),
         workers_(base_.get(),
                  [this](AttemptEnded ended) { Post(std::move(ended)); }),
@@ -60,6 +71,7 @@
     drain_fd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     drain_event_ = event_new(base_.get(), drain_fd_, EV_READ, &OnDrain, this);
     tick_event_ = event_new(base_.get(), -1, EV_PERSIST, &OnTick, this);
+    event_priority_set(tick_event_, kTickPriority);
     event_add(drain_event_, nullptr);
   }
 
@@ -76,6 +88,7 @@
     const uint64_t seed = init_.seed_ != 0 ? init_.seed_ : RandomWord();
     dispatcher_.emplace(self_, NewSecret(), seed);
     fleet_.Start(&dispatcher_->guards());
+    last_tick_ = clock_.Now();
     event_add(tick_event_, &kTick);
     return {};
   }
@@ -178,6 +191,10 @@
     self->pumping_ = true;
     self->dispatcher_->Tick(now, &self->outbox_);
     self->CarryOut();
+    if (now - self->last_tick_ > config::kPauseGap) {
+      self->workers_.DropUnsent();
+    }
+    self->last_tick_ = now;
     self->Pump();
     self->fleet_.Tick(now, *self->dispatcher_, self->draining_);
     if (self->draining_) self->ContinueDrain(now);
@@ -234,6 +251,7 @@
   bool cut_ = false;
   bool done_ = false;
   Time drain_began_;
+  Time last_tick_;
 };
 
 EntryInstance::EntryInstance(const Init& init)
--- a/src/worker_client.cc
+++ b/src/worker_client.cc
@@ -124,6 +124,17 @@
     Close(found->second);
   }
 
+  void DropUnsent() {
+    std::vector<Link*> unsent;
+    for (const auto& [attempt, link] : running_) {
+      if (!link->bytes_left_) unsent.push_back(link);
+    }
+    for (Link* link : unsent) {
+      link->failure_ = Errc::kResumedAfterPause;
+      Fail(link);
+    }
+  }
+
   uint32_t connections() const { return connections_; }
 
  private:
@@ -391,6 +402,8 @@
 
 void WorkerClient::Abandon(AttemptId attempt) { impl_->Abandon(attempt); }
 
+void WorkerClient::DropUnsent() { impl_->DropUnsent(); }
+
 uint32_t WorkerClient::connections() const { return impl_->connections(); }
 
 }  // namespace gentiandeal
--- a/src/worker_client.h
+++ b/src/worker_client.h
@@ -30,6 +30,10 @@
   /// Closes the connection of an attempt; its end is not reported.
   void Abandon(AttemptId attempt);
 
+  /// Ends every attempt of which no byte has left as not sent. Call after a
+  /// pause of the process, before the event loop writes again.
+  void DropUnsent();
+
   /// Open connections to all workers.
   uint32_t connections() const;
 
--- a/tests/unit/worker_client_test.cc
+++ b/tests/unit/worker_client_test.cc
@@ -165,6 +165,28 @@
   BOOST_TEST(client_.connections() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(UnsentAttemptIsDroppedAfterAPause) {
+  Start(worker_.address());
+  client_.DropUnsent();
+  BOOST_TEST((TakeEnd().verdict_ == Verdict::kNotSent));
+  std::unique_ptr<TestSocket> socket;
+  RunUntil(base_.get(), [&] {
+    socket = worker_.Accept();
+    return socket != nullptr;
+  });
+  BOOST_REQUIRE(socket != nullptr);
+  BOOST_TEST(RunUntil(base_.get(), [&] {
+    socket->Poll();
+    return socket->ended();
+  }));
+  BOOST_TEST(socket->received().empty());
+  Start(worker_.address());
+  const auto sent = TakeRequest();
+  client_.DropUnsent();
+  sent->Send(kWhole);
+  BOOST_TEST((TakeEnd().verdict_ == Verdict::kAnswered));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyAMarkMakesARefusal) {
   Start(worker_.address());
   TakeRequest()->Send(
