--- a/include/gentiandeal/gentiandeal.h
+++ b/include/gentiandeal/gentiandeal.h
@@ -115,10 +115,11 @@
 struct Init {
   std::string data_centre_ = "local";
   std::string region_ = "local";
-  std::string service_ = "backend";    ///< Service name of workers in the list.
-  Address callers_{"127.0.0.1", 0};    ///< Where callers' HTTP arrives.
-  Address peers_{"127.0.0.1", 0};      ///< UDP and TCP for other instances.
-  Address platform_;                   ///< Port 0 runs without a platform.
+  std::string service_ = "backend";  ///< Service name of workers in the list.
+  Address callers_{"127.0.0.1", 0};  ///< Where callers' HTTP arrives.
+  Address peers_{"127.0.0.1", 0};    ///< UDP and TCP for other instances.
+  Address peers_advertised_;  ///< Where peers reach it; port 0: as bound.
+  Address platform_;          ///< Port 0 runs without a platform.
   std::vector<Address> seed_workers_;  ///< Used until the first list arrives.
   std::vector<Address> seed_peers_;    ///< Used until the first list arrives.
   std::string settings_file_;     ///< Used until the first revision arrives.
--- a/src/boot_settings.cc
+++ b/src/boot_settings.cc
@@ -96,6 +96,10 @@
      [](const std::string& value, Init* init) {
        return ReadAddress(value, &init->peers_);
      }},
+    {"instance", "peers_advertised", false,
+     [](const std::string& value, Init* init) {
+       return ReadAddress(value, &init->peers_advertised_);
+     }},
     {"instance", "placement_seed", false,
      [](const std::string& value, Init* init) {
        return ReadSeed(value, &init->seed_);
--- a/src/cmd_load.cc
+++ b/src/cmd_load.cc
@@ -40,8 +40,9 @@
 };
 
 bool IsControl(const std::string& counter) {
-  return counter.find("datagrams_sent") != std::string::npos ||
-         counter.find("platform_calls") != std::string::npos;
+  return counter == "datagrams_sent" || counter == "platform_gets" ||
+         counter == "platform_lists" || counter == "platform_swaps" ||
+         counter == "platform_watches";
 }
 
 double Percentile(std::vector<double>* values, double percent) {
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -43,7 +43,9 @@
                   [this](PeerLinkEvent event) { TakeLinkEvent(&event); });
     const auto error = OpenPeerPort(init_.peers_, &*link_, &socket_);
     if (error) return error;
-    self->peer_address_ = link_->local();
+    const bool translated = init_.peers_advertised_.port_ != 0;
+    self->peer_address_ = translated ? init_.peers_advertised_ : link_->local();
+    link_->Advertise(self->peer_address_);
     membership_.emplace(*self);
     return {};
   }
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -135,10 +135,14 @@
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
         kListenBacklog, bind_to.get(), static_cast<int>(bind_to.size_));
     if (listener_ == nullptr) return {errno, std::system_category()};
-    return LocalAddress(evconnlistener_get_fd(listener_), &self_.peer_address_);
+    const auto error = LocalAddress(evconnlistener_get_fd(listener_), &bound_);
+    self_.peer_address_ = bound_;
+    return error;
   }
 
-  const Address& local() const { return self_.peer_address_; }
+  const Address& local() const { return bound_; }
+
+  void Advertise(const Address& address) { self_.peer_address_ = address; }
 
   void On(const PeersChanged& changed) {
     peers_.clear();
@@ -283,7 +287,7 @@
   /// Socket that connects from the host that peers know, or -1 for any.
   evutil_socket_t BoundSocket() const {
     SocketAddress own;
-    if (ToSocketAddress({self_.peer_address_.host_, 0}, &own)) return -1;
+    if (ToSocketAddress({bound_.host_, 0}, &own)) return -1;
     const int type = SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
     const int fd = socket(own.get()->sa_family, type, 0);
     if (fd >= 0 && bind(fd, own.get(), own.size_) != 0) {
@@ -603,6 +607,7 @@
 
   event_base* base_;
   InstanceId self_;
+  Address bound_;  ///< Where this instance listens.
   Handler handler_;
   PeerLinkLimits limits_;
   PeerLinkStats stats_;
@@ -631,6 +636,7 @@
   return impl_->Listen(address);
 }
 const Address& PeerLink::local() const { return impl_->local(); }
+void PeerLink::Advertise(const Address& address) { impl_->Advertise(address); }
 void PeerLink::On(const PeersChanged& peers) { impl_->On(peers); }
 void PeerLink::On(const ForwardSubmission& forward) { impl_->On(forward); }
 void PeerLink::On(const AbandonForward& abandon) { impl_->On(abandon); }
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -84,6 +84,10 @@
   /// Address with the port that the kernel chose.
   const Address& local() const;
 
+  /// Address by which peers know this run, where it is not the bound one. Call
+  /// after `Listen`.
+  void Advertise(const Address& address);
+
   /// Live peers. Submissions are taken only from their hosts.
   void On(const PeersChanged& peers);
 
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -166,6 +166,63 @@
   ledger.Check(fleet.workers_.starts());
 }
 
+BOOST_AUTO_TEST_CASE(PartedDataCentresServeTheirOwnAndJoinAgain) {
+  constexpr const char* kNames[] = {"rennes", "brest"};
+  const Folder folder;
+  std::vector<std::unique_ptr<Workers>> workers;
+  std::vector<BootFile> boots(2);
+  std::vector<std::unique_ptr<Instance>> entries;
+  Proxy proxy;
+  // A first run takes the ports; each instance is then known by its proxy.
+  for (size_t i = 0; i < 2; ++i) {
+    workers.push_back(std::make_unique<Workers>(folder, 2));
+    boots[i].data_centre_ = kNames[i];
+    boots[i].seed_workers_ = workers[i]->addresses();
+    entries.push_back(std::make_unique<Instance>(folder, boots[i]));
+    boots[i].peers_ = entries[i]->peers();
+    proxy.Add(boots[i].peers_, &boots[i].peers_advertised_);
+  }
+  entries.clear();
+  for (size_t i = 0; i < 2; ++i) {
+    boots[i].seed_peers_ = {boots[1 - i].peers_advertised_};
+    entries.push_back(std::make_unique<Instance>(folder, boots[i]));
+  }
+  for (const auto& entry : entries) BOOST_REQUIRE(entry->WaitFor(2, 1));
+  const Identity identity{FetchClient(entries[0]->callers()), 1};
+  const Address elsewhere = entries[1]->callers();
+  Ledger ledger;
+  const size_t joined = ledger.Submit(elsewhere, "joined", {2, 5}, identity);
+  BOOST_REQUIRE(ledger.WaitAll());
+  BOOST_TEST((ledger.Answer(joined).outcome_ == Outcome::kComplete));
+
+  for (const size_t pair : {0, 1}) proxy.SetFaults(pair, "mode=blackhole");
+  Identity second = identity;
+  second.sequence_ = 2;
+  const size_t parted =
+      ledger.Submit(elsewhere, "parted", {2, 5, 16, {1000}}, second);
+  const size_t own = ledger.Submit(elsewhere, "own", {2, 5});
+  const size_t other = ledger.Submit(entries[0]->callers(), "other", {2, 5});
+  BOOST_REQUIRE(ledger.WaitAll());
+  BOOST_TEST((ledger.Answer(parted).outcome_ == Outcome::kMayHaveRun));
+  BOOST_TEST((ledger.Answer(own).outcome_ == Outcome::kComplete));
+  BOOST_TEST((ledger.Answer(other).outcome_ == Outcome::kComplete));
+
+  for (const size_t pair : {0, 1}) proxy.SetFaults(pair, "");
+  for (const auto& entry : entries) BOOST_REQUIRE(entry->WaitFor(2, 1));
+  Identity third = identity;
+  third.sequence_ = 3;
+  const size_t again = ledger.Submit(elsewhere, "joined", {2, 5}, identity);
+  const size_t fresh = ledger.Submit(elsewhere, "fresh", {2, 5}, third);
+  BOOST_REQUIRE(ledger.WaitAll());
+  BOOST_TEST((ledger.Answer(again).outcome_ == Outcome::kComplete));
+  BOOST_TEST((ledger.Answer(fresh).outcome_ == Outcome::kComplete));
+  std::vector<LoggedStart> starts = workers[0]->starts();
+  for (const LoggedStart& start : workers[1]->starts()) {
+    starts.push_back(start);
+  }
+  ledger.Check(starts);
+}
+
 BOOST_AUTO_TEST_CASE(RollingTermUnderLoadCutsNothing) {
   constexpr int kJobs = 80;
   Fleet fleet(2, 2, 4);
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -250,6 +250,9 @@
        << "\nregion = " << boot.region_
        << "\ncallers = " << ToString(boot.callers_)
        << "\npeers = " << ToString(boot.peers_) << "\n";
+  if (boot.peers_advertised_.port_ != 0) {
+    text << "peers_advertised = " << ToString(boot.peers_advertised_) << "\n";
+  }
   text << "placement_seed = 1\n[platform]\nservice = " << boot.service_ << "\n";
   if (boot.platform_.port_ != 0) {
     text << "address = " << ToString(boot.platform_) << "\n";
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -127,6 +127,7 @@
   std::string region_ = "bretagne";
   Address callers_{"127.0.0.1", 0};
   Address peers_{"127.0.0.1", 0};
+  Address peers_advertised_;
   Address platform_;
   std::string service_ = "dossier";
   std::vector<Address> seed_workers_;
