--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -51,6 +51,31 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(FailingFastHoldsTheSlotForTheExpectedTime) {
+  ListWorkers(1, 1);
+  Submit(Job(1, 100));
+  End(starts_[0], Verdict::kFailed);
+  const RequestId next = Submit(Job(1, 100));
+  Advance(95);
+  BOOST_TEST(starts_.size() == 1U);
+  Advance(5);
+  BOOST_TEST(starts_.size() == 2U);
+  BOOST_TEST(!Answered(next));
+}
+
+BOOST_AUTO_TEST_CASE(WorkerThatSaysItLeavesGetsNothingNew) {
+  ListWorkers(1);
+  Submit(Job(1));
+  AttemptEnded end;
+  end.attempt_ = starts_[0].attempt_;
+  end.verdict_ = Verdict::kAnswered;
+  end.worker_leaving_ = true;
+  Send(end);
+  ListWorkers(1);
+  BOOST_TEST((ErrorOf(Submit(Job(1))) == Errc::kNoWorkers));
+  BOOST_TEST(starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(PassesThroughAFailedWorkersOwnResponse) {
   ListWorkers(1);
   JobSpec job = Job(1);
