Ask seed peers before the platform's list arrives

Cause: peers were asked only once the list had ended, and a store that hangs ends it after 2 s: a replaced instance became ready with its boot file, below the revision its peers held. Ruled out: a longer wait, which holds every restart up; not being ready without a peer's answer, which would stop a site that starts afresh.

--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -65,6 +65,7 @@
     membership_->SetSeeds(init_.seed_peers_, now);
     SyncOutbox out;
     sync_.Start(now, &out);
+    sync_.AskPeers(init_.seed_peers_, now, &out);
     if (!has_platform_) TellPeersToSync(now, &out);
     CarryOut(&out);
     if (has_platform_) ListInstances();
--- a/src/settings_sync.cc
+++ b/src/settings_sync.cc
@@ -10,7 +10,7 @@
 /// First wait after a failed watch; doubles up to the second.
 constexpr Duration kWatchBackOff{250};
 constexpr Duration kMaxWatchBackOff{8000};
-/// Peers asked at start.
+/// Peers asked at start out of the seeds, and again out of the list.
 constexpr size_t kPeersAsked = 3;
 /// Pulls open at a time after the start.
 constexpr size_t kMaxPulls = 1;
@@ -52,11 +52,22 @@
                                 SyncOutbox* out) {
   if (peers_known_) return;
   peers_known_ = true;
-  const size_t count = std::min(peers.size(), kPeersAsked);
-  for (size_t i = 0; i < count; ++i) Pull(peers[i], now, out);
+  AskPeers(peers, now, out);
   CheckReady(now);
 }
 
+void SettingsSync::AskPeers(const std::vector<Address>& peers, Time now,
+                            SyncOutbox* out) {
+  size_t count = 0;
+  for (const Address& peer : peers) {
+    if (count == kPeersAsked) return;
+    if (std::find(asked_.begin(), asked_.end(), peer) != asked_.end()) continue;
+    asked_.push_back(peer);
+    ++count;
+    Pull(peer, now, out);
+  }
+}
+
 void SettingsSync::OnRank(uint32_t rank, Time now, SyncOutbox* out) {
   rank_ = rank;
   KeepWatching(now, out);
--- a/src/settings_sync.h
+++ b/src/settings_sync.h
@@ -81,6 +81,8 @@
 
   void Start(Time now, SyncOutbox* out);
 
+  /// Asks peers that are known before the platform's list, such as seeds.
+  void AskPeers(const std::vector<Address>& peers, Time now, SyncOutbox* out);
   /// Peers that may be asked before serving; call once they are known, also
   /// when there are none or the list failed. Later calls are ignored.
   void OnPeersKnown(const std::vector<Address>& peers, Time now,
@@ -144,6 +146,7 @@
     Time since_;
   };
   std::vector<OpenPull> pulls_;
+  std::vector<Address> asked_;  ///< Before serving.
   Time next_pull_;
 
   bool get_open_ = false;
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -280,6 +280,11 @@
   Instance replaced(folder, boot);
   BOOST_TEST(WaitUntil([&] { return replaced.Ready(); }));
   BOOST_TEST(Site::RevisionOf(&replaced) == 1);
+  // So, too, when the store's answers do not come at all.
+  site.platform_.Control("faults", {{"delay_ms", 600000}});
+  Instance waiting(folder, boot);
+  BOOST_TEST(WaitUntil([&] { return waiting.Ready(); }));
+  BOOST_TEST(Site::RevisionOf(&waiting) == 1);
   // With neither peers nor store, it serves from its boot file.
   boot.seed_peers_.clear();
   boot.settings_file_ = folder.Write("tree.ini", "[team care]\nweight = 2\n");
--- a/tests/unit/settings_sync_test.cc
+++ b/tests/unit/settings_sync_test.cc
@@ -82,6 +82,16 @@
   BOOST_TEST((sync_.source() == SettingsSource::kPeer));
 }
 
+BOOST_AUTO_TEST_CASE(AsksSeedsBeforeTheListIsKnownAndOnlyOnce) {
+  sync_.AskPeers({kPeer}, now_, &out_);
+  BOOST_TEST(Take<PullDocument>().size() == 1);
+  sync_.OnPulled(kPeer, WriteDocument(Make(2)), now_, &out_);
+  BOOST_TEST(sync_.revision().value_ == 2);
+  BOOST_TEST(!sync_.ready());
+  sync_.OnPeersKnown({kPeer, {"127.0.0.1", 7002}}, now_, &out_);
+  BOOST_TEST(Take<PullDocument>().size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(WaitForPeersAndStoreIsBounded) {
   sync_.OnPeersKnown({kPeer}, now_, &out_);
   Wait({1999});
