Take two messages of the fleet by reference

Cause: clang-tidy reports performance-unnecessary-value-param for both. Ruled out: a NOLINT, since nothing keeps the copies. Before: two findings in src/fleet.cc; after: none; settings tests pass.

--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -264,7 +264,7 @@
     }
   }
 
-  void Take(SendDatagram datagram) {
+  void Take(const SendDatagram& datagram) {
     socket_.Send(datagram.to_, datagram.bytes_);
   }
   void Take(PeersChanged changed) {
@@ -296,7 +296,7 @@
   void TakeLink(T event) {
     events_(std::move(event));
   }
-  void TakeLink(SettingsPulled pulled) {
+  void TakeLink(const SettingsPulled& pulled) {
     SyncOutbox out;
     sync_.OnPulled(pulled.peer_, pulled.document_.text_, clock_.Now(), &out);
     CarryOut(&out);
