--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -67,6 +67,7 @@
     membership_->SetSeeds(init_.seed_peers_, now);
     SyncOutbox out;
     sync_.Start(now, &out);
+    sync_.AskPeers(init_.seed_peers_, now, &out);
     if (!has_platform_) TellPeersToSync(now, &out);
     CarryOut(&out);
     if (has_platform_) ListInstances();
@@ -265,7 +266,7 @@
     }
   }
 
-  void Take(SendDatagram datagram) {
+  void Take(const SendDatagram& datagram) {
     socket_.Send(datagram.to_, datagram.bytes_);
   }
   void Take(PeersChanged changed) {
@@ -297,7 +298,7 @@
   void TakeLink(T event) {
     events_(std::move(event));
   }
-  void TakeLink(SettingsPulled pulled) {
+  void TakeLink(const SettingsPulled& pulled) {
     SyncOutbox out;
     sync_.OnPulled(pulled.peer_, pulled.document_.text_, clock_.Now(), &out);
     CarryOut(&out);
