Name the peers' records apart from the dispatcher's

The split of peer_link.cc moved Request and Forward out of an unnamed namespace, where job.h has structs of the same names: one definition rule broken, and undefined behaviour on links. The unit tests passed; the address sanitizer saw new-delete-type-mismatch in peer_link. They are PeerRequest, OpenForward, LinkState and PeerRecord now. Also adds a test of reports between peers whose lists of workers differ, with more entries than one datagram holds.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -60,7 +60,7 @@
 
   void SetSeeds(const std::vector<Address>& seeds, Time now) {
     for (const Address& address : seeds) {
-      Peer* peer = FindOrAdd(address, now);
+      PeerRecord* peer = FindOrAdd(address, now);
       if (peer != nullptr) peer->seed_ = true;
     }
   }
@@ -147,17 +147,17 @@
   const MembershipStats& stats() const { return stats_; }
 
  private:
-  bool Own(const Peer& peer) const {
+  bool Own(const PeerRecord& peer) const {
     return peer.data_centre_ == self_.data_centre_;
   }
-  bool OwnLive(const Peer& peer) const { return peer.live_ && Own(peer); }
+  bool OwnLive(const PeerRecord& peer) const { return peer.live_ && Own(peer); }
 
-  Peer* FindOrAdd(const Address& address, Time now) {
+  PeerRecord* FindOrAdd(const Address& address, Time now) {
     if (address == self_.peer_address_ || address.port_ == 0) return nullptr;
     const auto found = peers_.find(address);
     if (found != peers_.end()) return &found->second;
     if (peers_.size() >= config::kMaxPeers && !EvictOne()) return nullptr;
-    Peer& peer = peers_[address];
+    PeerRecord& peer = peers_[address];
     peer.address_ = address;
     peer.interval_ = kHeartbeatInterval;
     peer.probe_interval_ = kFirstProbe;
@@ -172,7 +172,7 @@
   bool EvictOne() {
     const auto found =
         std::find_if(peers_.begin(), peers_.end(), [](const auto& entry) {
-          const Peer& peer = entry.second;
+          const PeerRecord& peer = entry.second;
           return !peer.live_ && !peer.listed_ && !peer.seed_;
         });
     if (found == peers_.end()) return false;
@@ -181,7 +181,7 @@
   }
 
   void AddListed(const PeerInfo& info, Time now) {
-    Peer* peer = FindOrAdd(info.address_, now);
+    PeerRecord* peer = FindOrAdd(info.address_, now);
     if (peer == nullptr) return;
     peer->listed_ = true;
     peer->leaving_listed_ = info.leaving_;
@@ -194,7 +194,7 @@
 
   /// Takes the sequence number. @returns false when the datagram is not the
   /// newest of the peer's present run.
-  bool IsNews(Peer* peer, const DatagramHead& head, Time now) {
+  bool IsNews(PeerRecord* peer, const DatagramHead& head, Time now) {
     if (head.incarnation_ != peer->incarnation_ ||
         head.sequence_ <= peer->last_sequence_) {
       ++stats_.dropped_stale_;
@@ -207,7 +207,7 @@
     return true;
   }
 
-  void Receive(Peer* peer, const StateDatagram& state, Time now,
+  void Receive(PeerRecord* peer, const StateDatagram& state, Time now,
                PeerEvents* out) {
     const auto& replaced = peer->replaced_;
     if (std::find(replaced.begin(), replaced.end(), state.head_.incarnation_) !=
@@ -250,7 +250,7 @@
     }
   }
 
-  void Receive(Peer* peer, const LoadDatagram& report, Time now,
+  void Receive(PeerRecord* peer, const LoadDatagram& report, Time now,
                PeerEvents* out) {
     if (!peer->live_ || report.head_.incarnation_ != peer->incarnation_) {
       // A run that did not say who it is yet: ask.
@@ -271,7 +271,7 @@
     TakePeerUses(*peer, report.teams_, out);
   }
 
-  void Replace(Peer* peer, Incarnation incarnation, PeerEvents* out) {
+  void Replace(PeerRecord* peer, Incarnation incarnation, PeerEvents* out) {
     if (peer->incarnation_.valid()) {
       if (peer->replaced_.size() == kReplacedKept) {
         peer->replaced_.erase(peer->replaced_.begin());
@@ -283,7 +283,8 @@
     peer->last_sequence_ = 0;
   }
 
-  void TakePeerUses(const Peer& peer, const std::vector<WireTeamUse>& uses,
+  void TakePeerUses(const PeerRecord& peer,
+                    const std::vector<WireTeamUse>& uses,
                     PeerEvents* out) const {
     for (const WireTeamUse& use : uses) {
       const std::optional<TeamUse> read = uses_.Read(use);
@@ -330,7 +331,7 @@
     }
   }
 
-  void Lose(Peer* peer, PeerEvents* out) {
+  void Lose(PeerRecord* peer, PeerEvents* out) {
     peer->live_ = false;
     peer->needs_full_ = true;
     std::fill(peer->counts_.begin(), peer->counts_.end(), uint8_t{0});
@@ -341,7 +342,7 @@
 
   void DropSilent(Time now, PeerEvents* out) {
     for (auto entry = peers_.begin(); entry != peers_.end();) {
-      Peer& peer = entry->second;
+      PeerRecord& peer = entry->second;
       if (peer.live_ && now > peer.live_until_) {
         Lose(&peer, out);
         peer.next_state_ = now;
@@ -354,7 +355,7 @@
 
   // Sending.
 
-  void Send(const Peer& peer, const std::string& bytes, PeerEvents* out) {
+  void Send(const PeerRecord& peer, const std::string& bytes, PeerEvents* out) {
     const size_t size = bytes.size() + kHeaderBytes;
     tokens_ -= static_cast<double>(size);
     ++stats_.datagrams_sent_;
@@ -403,7 +404,7 @@
     }
   }
 
-  static void ScheduleState(Peer* peer, Duration interval, Time now) {
+  static void ScheduleState(PeerRecord* peer, Duration interval, Time now) {
     if (peer->live_) {
       peer->next_state_ = now + interval;
       return;
@@ -487,7 +488,7 @@
   }
 
   /// Reports by name hash, in as many datagrams as it takes.
-  void SendEntries(const Peer& peer, LoadDatagram base, bool full,
+  void SendEntries(const PeerRecord& peer, LoadDatagram base, bool full,
                    PeerEvents* out) {
     const std::vector<WireWorkerUse> entries = report_.Entries(full);
     size_t next = 0;
@@ -537,7 +538,7 @@
 
   InstanceId self_;
   double budget_;
-  std::map<Address, Peer> peers_;
+  std::map<Address, PeerRecord> peers_;
   LoadReport report_;
   OwnLoad load_;
   MembershipStats stats_;
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -55,7 +55,7 @@
     if (listener_ != nullptr) evconnlistener_free(listener_);
     event_free(timer_);
     event_free(flush_);
-    links_.clear_and_dispose([this](Link* link) { Free(link); });
+    links_.clear_and_dispose([this](LinkState* link) { Free(link); });
   }
 
   Impl(const Impl&) = delete;
@@ -98,11 +98,11 @@
     if (buffered_ + frame.size() > limits_.max_buffered_bytes_) {
       return Refuse(forward.forward_, Errc::kQueueFull);
     }
-    Link* link = FindOrConnect(peer->first, peer->second);
+    LinkState* link = FindOrConnect(peer->first, peer->second);
     if (link == nullptr) {
       return Refuse(forward.forward_, Errc::kOwnerUnreachable);
     }
-    Forward& entry = forwards_[forward.forward_.value_];
+    OpenForward& entry = forwards_[forward.forward_.value_];
     entry.link_ = link;
     entry.deadline_ = clock_.Now() + forward.timeout_;
     deadlines_.emplace(entry.deadline_, forward.forward_.value_);
@@ -119,7 +119,7 @@
   void On(const AbandonForward& abandon) {
     const auto found = forwards_.find(abandon.forward_.value_);
     if (found == forwards_.end()) return;
-    Link* link = found->second.link_;
+    LinkState* link = found->second.link_;
     const bool sent = found->second.start_ != kNotQueued;
     Forget(found);
     if (sent) Write(link, EncodeFrame(AbandonFrame{abandon.forward_}));
@@ -128,14 +128,14 @@
   void On(const SendAnswer& message) {
     const auto found = requests_.find(message.request_.value_);
     if (found == requests_.end()) return;
-    const Request request = found->second;
+    const PeerRequest request = found->second;
     requests_.erase(found);
     request.link_->requests_.erase(request.forward_.value_);
     WriteAnswer(request.link_, request.forward_, *message.answer_);
   }
 
   void PullSettings(const Address& peer, Duration timeout) {
-    Link* link = FindOrConnect(peer, Incarnation());
+    LinkState* link = FindOrConnect(peer, Incarnation());
     if (link == nullptr) return Emit(SettingsPulled{peer, false, {}});
     link->pulls_.insert(clock_.Now() + timeout);
     if (link->ready_) Write(link, EncodeFrame(PullSettingsFrame{}));
@@ -153,7 +153,7 @@
   const PeerLinkStats& stats() const { return stats_; }
 
  private:
-  using ForwardMap = std::unordered_map<uint64_t, Forward>;
+  using ForwardMap = std::unordered_map<uint64_t, OpenForward>;
 
   // Events to the owner.
 
@@ -180,7 +180,7 @@
   }
 
   void Forget(ForwardMap::iterator found) {
-    Forward& forward = found->second;
+    OpenForward& forward = found->second;
     if (forward.start_ == kNotQueued) {
       buffered_ -= forward.frame_.size();
       std::erase(forward.link_->waiting_, ForwardId{found->first});
@@ -192,8 +192,8 @@
 
   // Connections.
 
-  Link* FindOrConnect(const Address& address, Incarnation expected) {
-    for (Link& link : links_) {
+  LinkState* FindOrConnect(const Address& address, Incarnation expected) {
+    for (LinkState& link : links_) {
       if (link.outgoing_ && !link.retired_ && link.remote_ == address &&
           link.expected_ == expected) {
         link.last_used_ = clock_.Now();
@@ -203,7 +203,7 @@
     SocketAddress target;
     if (ToSocketAddress(address, &target)) return nullptr;
     const evutil_socket_t fd = BoundSocket();
-    Link* link = Add(fd);
+    LinkState* link = Add(fd);
     if (link == nullptr) {
       if (fd >= 0) evutil_closesocket(fd);
       return nullptr;
@@ -232,11 +232,11 @@
     return fd;
   }
 
-  Link* Add(evutil_socket_t fd) {
+  LinkState* Add(evutil_socket_t fd) {
     bufferevent* buffer =
         bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE);
     if (buffer == nullptr) return nullptr;
-    auto* link = new Link;
+    auto* link = new LinkState;
     link->buffer_ = buffer;
     link->owner_ = this;
     link->last_used_ = clock_.Now();
@@ -251,7 +251,7 @@
   }
 
   /// Frees what the link holds; it is already out of `links_`.
-  void Free(Link* link) {
+  void Free(LinkState* link) {
     buffered_ -= link->queued_ - link->written_;
     evbuffer_remove_cb(bufferevent_get_output(link->buffer_), &Impl::OnOutput,
                        link);
@@ -259,7 +259,7 @@
     delete link;
   }
 
-  void Remove(Link* link) {
+  void Remove(LinkState* link) {
     links_.erase(links_.iterator_to(*link));
     if (!link->outgoing_) --accepted_;
     Free(link);
@@ -267,7 +267,7 @@
 
   /// Ends everything that was open on a link, each with the outcome that is
   /// sure, and removes it.
-  void Lose(Link* link) {
+  void Lose(LinkState* link) {
     ++stats_.links_lost_;
     while (!link->forwards_.empty()) {
       const ForwardId id{*link->forwards_.begin()};
@@ -290,7 +290,7 @@
     Remove(link);
   }
 
-  void Write(Link* link, const std::string& bytes) {
+  void Write(LinkState* link, const std::string& bytes) {
     link->queued_ += bytes.size();
     buffered_ += bytes.size();
     link->last_used_ = clock_.Now();
@@ -298,7 +298,7 @@
     bufferevent_write(link->buffer_, bytes.data(), bytes.size());
   }
 
-  void WriteForward(Forward* forward) {
+  void WriteForward(OpenForward* forward) {
     forward->start_ = forward->link_->queued_;
     buffered_ -= forward->frame_.size();
     Write(forward->link_, forward->frame_);
@@ -306,7 +306,8 @@
   }
 
   /// Writes an answer, or drops a link whose peer does not read.
-  void WriteAnswer(Link* link, ForwardId forward, const JobAnswer& answer) {
+  void WriteAnswer(LinkState* link, ForwardId forward,
+                   const JobAnswer& answer) {
     std::string frame = EncodeAnswer(forward, answer);
     if (frame.size() - kFrameLengthBytes > config::kMaxFrameBytes) {
       frame = EncodeAnswer(forward, TooLarge(answer));
@@ -318,7 +319,7 @@
 
   static void OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
                        void* link) {
-    auto* self = static_cast<Link*>(link);
+    auto* self = static_cast<LinkState*>(link);
     self->written_ += info->n_deleted;
     static_cast<Impl*>(self->owner_)->buffered_ -= info->n_deleted;
   }
@@ -329,7 +330,7 @@
     SocketAddress source;
     std::copy_n(reinterpret_cast<const char*>(from), size,
                 reinterpret_cast<char*>(&source.storage_));
-    Link* link = nullptr;
+    LinkState* link = nullptr;
     Address remote;
     if (impl->accepted_ < impl->limits_.max_accepted_ &&
         !FromSocketAddress(source, &remote)) {
@@ -346,7 +347,7 @@
   }
 
   static void OnState(bufferevent* /*buffer*/, int16_t what, void* context) {
-    auto* link = static_cast<Link*>(context);
+    auto* link = static_cast<LinkState*>(context);
     auto* impl = static_cast<Impl*>(link->owner_);
     if ((what & BEV_EVENT_CONNECTED) == 0) return impl->Lose(link);
     ++impl->stats_.links_opened_;
@@ -357,7 +358,7 @@
   // Frames.
 
   static void OnRead(bufferevent* buffer, void* context) {
-    auto* link = static_cast<Link*>(context);
+    auto* link = static_cast<LinkState*>(context);
     auto* impl = static_cast<Impl*>(link->owner_);
     evbuffer* input = bufferevent_get_input(buffer);
     while (impl->ReadFrame(link, input)) {
@@ -365,7 +366,7 @@
   }
 
   /// Takes one frame. @returns false when none is whole or the link is gone.
-  bool ReadFrame(Link* link, evbuffer* input) {
+  bool ReadFrame(LinkState* link, evbuffer* input) {
     char head[kFrameLengthBytes];
     if (evbuffer_copyout(input, head, sizeof(head)) !=
         static_cast<ev_ssize_t>(sizeof(head))) {
@@ -391,7 +392,7 @@
     return std::visit([&](auto& body) { return Take(link, body); }, frame);
   }
 
-  bool Malformed(Link* link) {
+  bool Malformed(LinkState* link) {
     ++stats_.frames_malformed_;
     Lose(link);
     return false;
@@ -399,7 +400,7 @@
 
   // Each `Take` returns false when the link is gone.
 
-  bool Take(Link* link, const HelloFrame& hello) {
+  bool Take(LinkState* link, const HelloFrame& hello) {
     if (link->outgoing_ || link->ready_) return Malformed(link);
     const Address& claimed = hello.self_.peer_address_;
     const bool any = !hello.expected_.valid();
@@ -414,7 +415,7 @@
     return true;
   }
 
-  bool Take(Link* link, const HelloReplyFrame& reply) {
+  bool Take(LinkState* link, const HelloReplyFrame& reply) {
     if (!link->outgoing_ || link->ready_) return Malformed(link);
     const bool same =
         !link->expected_.valid() || reply.self_.incarnation_ == link->expected_;
@@ -434,7 +435,7 @@
     return true;
   }
 
-  bool Take(Link* link, SubmitFrame& submit) {
+  bool Take(LinkState* link, SubmitFrame& submit) {
     const bool fresh = link->requests_.count(submit.forward_.value_) == 0;
     if (!link->may_submit_ || !submit.forward_.valid() || !fresh ||
         (submit.cancel_ && !submit.submission_)) {
@@ -457,7 +458,7 @@
     return true;
   }
 
-  bool Take(Link* link, const AbandonFrame& abandon) {
+  bool Take(LinkState* link, const AbandonFrame& abandon) {
     if (!link->may_submit_) return Malformed(link);
     const auto found = link->requests_.find(abandon.forward_.value_);
     if (found == link->requests_.end()) return true;
@@ -467,7 +468,7 @@
     return true;
   }
 
-  bool Take(Link* link, AnswerFrame& answer) {
+  bool Take(LinkState* link, AnswerFrame& answer) {
     if (!link->outgoing_ || !link->ready_) return Malformed(link);
     const auto found = forwards_.find(answer.forward_.value_);
     if (found == forwards_.end() || found->second.link_ != link) return true;
@@ -476,7 +477,7 @@
     return true;
   }
 
-  bool Take(Link* link, const PullSettingsFrame& /*pull*/) {
+  bool Take(LinkState* link, const PullSettingsFrame& /*pull*/) {
     // One document at a time: whoever asks reads it before asking again.
     const bool busy = link->queued_ != link->written_;
     if (link->outgoing_ || !link->ready_ || busy) return Malformed(link);
@@ -485,7 +486,7 @@
     return true;
   }
 
-  bool Take(Link* link, SettingsFrame& settings) {
+  bool Take(LinkState* link, SettingsFrame& settings) {
     if (link->pulls_.empty()) return Malformed(link);
     link->pulls_.erase(link->pulls_.begin());
     Emit(SettingsPulled{link->remote_,
@@ -507,7 +508,7 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
       const ForwardId id{deadlines_.begin()->second};
       const auto found = forwards_.find(id.value_);
-      Link* link = found->second.link_;
+      LinkState* link = found->second.link_;
       const bool queued = found->second.start_ != kNotQueued;
       Forget(found);
       if (!queued) {
@@ -523,7 +524,7 @@
 
   void CloseOld(Time now) {
     for (auto entry = links_.begin(); entry != links_.end();) {
-      Link* link = &*entry++;
+      LinkState* link = &*entry++;
       const bool pull_overdue =
           !link->pulls_.empty() && *link->pulls_.begin() <= now;
       const bool hello_overdue = !link->ready_ && now > link->hello_deadline_;
@@ -550,12 +551,12 @@
   event* flush_ = nullptr;
   evconnlistener* listener_ = nullptr;
   std::map<Address, Incarnation> peers_;
-  boost::intrusive::list<Link> links_;
+  boost::intrusive::list<LinkState> links_;
   size_t accepted_ = 0;
   size_t buffered_ = 0;  ///< Bytes not yet taken by the kernel.
   ForwardMap forwards_;
   std::set<std::pair<Time, uint64_t>> deadlines_;
-  std::unordered_map<uint64_t, Request> requests_;
+  std::unordered_map<uint64_t, PeerRequest> requests_;
   uint64_t last_request_ = 0;
   SettingsDocument document_;
   std::vector<PeerLinkEvent> events_;
--- a/src/peer_link_state.h
+++ b/src/peer_link_state.h
@@ -21,7 +21,7 @@
 using ListHook = boost::intrusive::list_base_hook<>;
 
 /// One TCP connection to or from a peer.
-struct Link : ListHook {
+struct LinkState : ListHook {
   bufferevent* buffer_ = nullptr;
   void* owner_ = nullptr;
   bool outgoing_ = false;
@@ -40,15 +40,15 @@
   std::unordered_map<uint64_t, RequestId> requests_;  ///< By forward id.
 };
 
-struct Forward {
-  Link* link_ = nullptr;
+struct OpenForward {
+  LinkState* link_ = nullptr;
   uint64_t start_ = kNotQueued;  ///< Offset of its first byte in the stream.
   Time deadline_;
   std::string frame_;  ///< Kept until the hello is accepted.
 };
 
-struct Request {
-  Link* link_ = nullptr;
+struct PeerRequest {
+  LinkState* link_ = nullptr;
   ForwardId forward_;
 };
 
--- a/src/peer_record.h
+++ b/src/peer_record.h
@@ -10,7 +10,7 @@
 namespace gentiandeal {
 
 /// What the membership knows of one address.
-struct Peer {
+struct PeerRecord {
   Address address_;
   std::string data_centre_;
   bool listed_ = false;
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -214,6 +214,34 @@
   BOOST_TEST(c.reports_ == 0);
 }
 
+BOOST_AUTO_TEST_CASE(ReportsNameWorkersRightlyWhereListsDiffer) {
+  Fleet fleet;
+  auto& a = fleet.Add("rennes");
+  auto& b = fleet.Add("rennes");
+  // More workers than one datagram names; b lacks some in the middle.
+  std::vector<WorkerInfo> all = Workers(250);
+  a.membership_->SetWorkers(all);
+  for (const WorkerInfo& worker : all) a.in_use_[worker.address_] = 3;
+  a.in_use_[all[40].address_] = 7;
+  all.erase(all.begin() + 20, all.begin() + 30);
+  b.membership_->SetWorkers(all);
+  fleet.ListAll();
+  fleet.Run(Duration{2000});
+  for (const WorkerInfo& worker : all) {
+    const auto seen = b.peer_use_.find({a.id_.incarnation_, worker.address_});
+    BOOST_REQUIRE(seen != b.peer_use_.end());
+    BOOST_TEST(seen->second == a.in_use_[worker.address_]);
+  }
+  BOOST_TEST(b.peer_use_.size() == all.size());
+  BOOST_TEST(b.membership_->stats().dropped_malformed_ == 0U);
+  // Once the lists are equal again, ranks serve and mean the same workers.
+  a.membership_->SetWorkers(all);
+  a.in_use_[all[100].address_] = 5;
+  ++a.load_.task_starts_;
+  fleet.Run(Duration{2000});
+  BOOST_TEST((b.peer_use_[{a.id_.incarnation_, all[100].address_}] == 5));
+}
+
 BOOST_AUTO_TEST_CASE(PartedDataCentresHealByThemselves) {
   Fleet fleet;
   auto& a = fleet.Add("rennes");
