--- a/src/job_json.cc
+++ b/src/job_json.cc
@@ -350,6 +350,9 @@
       json["started"] = "unknown";
     }
   }
+  // An earlier attempt may have run; this one never reached its owner.
+  const bool owner_unreachable = answer.error_ == Errc::kOwnerUnreachable;
+  if (owner_unreachable) json["this_attempt"] = "not-run";
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -55,7 +55,7 @@
     if (listener_ != nullptr) evconnlistener_free(listener_);
     event_free(timer_);
     event_free(flush_);
-    links_.clear_and_dispose([this](Link* link) { Free(link); });
+    links_.clear_and_dispose([this](LinkState* link) { Free(link); });
   }
 
   Impl(const Impl&) = delete;
@@ -102,11 +102,11 @@
     if (buffered_ + frame.size() > limits_.max_buffered_bytes_) {
       return Refuse(forward.forward_, Errc::kQueueFull);
     }
-    Link* link = FindOrConnect(peer->first, peer->second);
+    LinkState* link = FindOrConnect(peer->first, peer->second);
     if (link == nullptr) {
       return Refuse(forward.forward_, Errc::kOwnerUnreachable);
     }
-    LinkForward& entry = forwards_[forward.forward_.value_];
+    OpenForward& entry = forwards_[forward.forward_.value_];
     entry.link_ = link;
     entry.deadline_ = clock_.Now() + forward.timeout_;
     deadlines_.emplace(entry.deadline_, forward.forward_.value_);
@@ -123,7 +123,7 @@
   void On(const AbandonForward& abandon) {
     const auto found = forwards_.find(abandon.forward_.value_);
     if (found == forwards_.end()) return;
-    Link* link = found->second.link_;
+    LinkState* link = found->second.link_;
     const bool sent = found->second.start_ != kNotQueued;
     Forget(found);
     if (sent) Write(link, EncodeFrame(AbandonFrame{abandon.forward_}));
@@ -132,14 +132,14 @@
   void On(const SendAnswer& message) {
     const auto found = requests_.find(message.request_.value_);
     if (found == requests_.end()) return;
-    const LinkRequest request = found->second;
+    const PeerRequest request = found->second;
     requests_.erase(found);
     request.link_->requests_.erase(request.forward_.value_);
     WriteAnswer(request.link_, request.forward_, *message.answer_);
   }
 
   void PullSettings(const Address& peer, Duration timeout) {
-    Link* link = FindOrConnect(peer, Incarnation());
+    LinkState* link = FindOrConnect(peer, Incarnation());
     if (link == nullptr) return Emit(SettingsPulled{peer, false, {}});
     link->pulls_.insert(clock_.Now() + timeout);
     if (link->ready_) Write(link, EncodeFrame(PullSettingsFrame{}));
@@ -157,7 +157,7 @@
   const PeerLinkStats& stats() const { return stats_; }
 
  private:
-  using ForwardMap = std::unordered_map<uint64_t, LinkForward>;
+  using ForwardMap = std::unordered_map<uint64_t, OpenForward>;
 
   // Events to the owner.
 
@@ -184,7 +184,7 @@
   }
 
   void Forget(ForwardMap::iterator found) {
-    LinkForward& forward = found->second;
+    OpenForward& forward = found->second;
     if (forward.start_ == kNotQueued) {
       buffered_ -= forward.frame_.size();
       std::erase(forward.link_->waiting_, ForwardId{found->first});
@@ -196,8 +196,8 @@
 
   // Connections.
 
-  Link* FindOrConnect(const Address& address, Incarnation expected) {
-    for (Link& link : links_) {
+  LinkState* FindOrConnect(const Address& address, Incarnation expected) {
+    for (LinkState& link : links_) {
       if (link.outgoing_ && !link.retired_ && link.remote_ == address &&
           link.expected_ == expected) {
         link.last_used_ = clock_.Now();
@@ -207,7 +207,7 @@
     SocketAddress target;
     if (ToSocketAddress(address, &target)) return nullptr;
     const evutil_socket_t fd = BoundSocket();
-    Link* link = Add(fd);
+    LinkState* link = Add(fd);
     if (link == nullptr) {
       if (fd >= 0) evutil_closesocket(fd);
       return nullptr;
@@ -236,11 +236,11 @@
     return fd;
   }
 
-  Link* Add(evutil_socket_t fd) {
+  LinkState* Add(evutil_socket_t fd) {
     bufferevent* buffer =
         bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE);
     if (buffer == nullptr) return nullptr;
-    auto* link = new Link;
+    auto* link = new LinkState;
     link->buffer_ = buffer;
     link->owner_ = this;
     link->last_used_ = clock_.Now();
@@ -255,7 +255,7 @@
   }
 
   /// Frees what the link holds; it is already out of `links_`.
-  void Free(Link* link) {
+  void Free(LinkState* link) {
     buffered_ -= link->queued_ - link->written_;
     evbuffer_remove_cb(bufferevent_get_output(link->buffer_), &Impl::OnOutput,
                        link);
@@ -263,7 +263,7 @@
     delete link;
   }
 
-  void Remove(Link* link) {
+  void Remove(LinkState* link) {
     links_.erase(links_.iterator_to(*link));
     if (!link->outgoing_) --accepted_;
     Free(link);
@@ -271,7 +271,7 @@
 
   /// Ends everything that was open on a link, each with the outcome that is
   /// sure, and removes it.
-  void Lose(Link* link) {
+  void Lose(LinkState* link) {
     ++stats_.links_lost_;
     while (!link->forwards_.empty()) {
       const ForwardId id{*link->forwards_.begin()};
@@ -294,7 +294,7 @@
     Remove(link);
   }
 
-  void Write(Link* link, const std::string& bytes) {
+  void Write(LinkState* link, const std::string& bytes) {
     link->queued_ += bytes.size();
     buffered_ += bytes.size();
     link->last_used_ = clock_.Now();
@@ -302,7 +302,7 @@
     bufferevent_write(link->buffer_, bytes.data(), bytes.size());
   }
 
-  void WriteForward(LinkForward* forward) {
+  void WriteForward(OpenForward* forward) {
     forward->start_ = forward->link_->queued_;
     buffered_ -= forward->frame_.size();
     Write(forward->link_, forward->frame_);
@@ -310,7 +310,8 @@
   }
 
   /// Writes an answer, or drops a link whose peer does not read.
-  void WriteAnswer(Link* link, ForwardId forward, const JobAnswer& answer) {
+  void WriteAnswer(LinkState* link, ForwardId forward,
+                   const JobAnswer& answer) {
     std::string frame = EncodeAnswer(forward, answer);
     if (frame.size() - kFrameLengthBytes > config::kMaxFrameBytes) {
       frame = EncodeAnswer(forward, TooLarge(answer));
@@ -322,7 +323,7 @@
 
   static void OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
                        void* link) {
-    auto* self = static_cast<Link*>(link);
+    auto* self = static_cast<LinkState*>(link);
     self->written_ += info->n_deleted;
     static_cast<Impl*>(self->owner_)->buffered_ -= info->n_deleted;
   }
@@ -333,7 +334,7 @@
     SocketAddress source;
     std::copy_n(reinterpret_cast<const char*>(from), size,
                 reinterpret_cast<char*>(&source.storage_));
-    Link* link = nullptr;
+    LinkState* link = nullptr;
     Address remote;
     if (impl->accepted_ < impl->limits_.max_accepted_ &&
         !FromSocketAddress(source, &remote)) {
@@ -350,7 +351,7 @@
   }
 
   static void OnState(bufferevent* /*buffer*/, int16_t what, void* context) {
-    auto* link = static_cast<Link*>(context);
+    auto* link = static_cast<LinkState*>(context);
     auto* impl = static_cast<Impl*>(link->owner_);
     if ((what & BEV_EVENT_CONNECTED) == 0) return impl->Lose(link);
     ++impl->stats_.links_opened_;
@@ -361,7 +362,7 @@
   // Frames.
 
   static void OnRead(bufferevent* buffer, void* context) {
-    auto* link = static_cast<Link*>(context);
+    auto* link = static_cast<LinkState*>(context);
     auto* impl = static_cast<Impl*>(link->owner_);
     evbuffer* input = bufferevent_get_input(buffer);
     while (impl->ReadFrame(link, input)) {
@@ -369,7 +370,7 @@
   }
 
   /// Takes one frame. @returns false when none is whole or the link is gone.
-  bool ReadFrame(Link* link, evbuffer* input) {
+  bool ReadFrame(LinkState* link, evbuffer* input) {
     char head[kFrameLengthBytes];
     if (evbuffer_copyout(input, head, sizeof(head)) !=
         static_cast<ev_ssize_t>(sizeof(head))) {
@@ -395,7 +396,7 @@
     return std::visit([&](auto& body) { return Take(link, body); }, frame);
   }
 
-  bool Malformed(Link* link) {
+  bool Malformed(LinkState* link) {
     ++stats_.frames_malformed_;
     Lose(link);
     return false;
@@ -403,7 +404,7 @@
 
   // Each `Take` returns false when the link is gone.
 
-  bool Take(Link* link, const HelloFrame& hello) {
+  bool Take(LinkState* link, const HelloFrame& hello) {
     if (link->outgoing_ || link->ready_) return Malformed(link);
     const Address& claimed = hello.self_.peer_address_;
     const bool any = !hello.expected_.valid();
@@ -418,7 +419,7 @@
     return true;
   }
 
-  bool Take(Link* link, const HelloReplyFrame& reply) {
+  bool Take(LinkState* link, const HelloReplyFrame& reply) {
     if (!link->outgoing_ || link->ready_) return Malformed(link);
     const bool same =
         !link->expected_.valid() || reply.self_.incarnation_ == link->expected_;
@@ -438,7 +439,7 @@
     return true;
   }
 
-  bool Take(Link* link, SubmitFrame& submit) {
+  bool Take(LinkState* link, SubmitFrame& submit) {
     const bool fresh = link->requests_.count(submit.forward_.value_) == 0;
     if (!link->may_submit_ || !submit.forward_.valid() || !fresh ||
         (submit.cancel_ && !submit.submission_)) {
@@ -461,7 +462,7 @@
     return true;
   }
 
-  bool Take(Link* link, const AbandonFrame& abandon) {
+  bool Take(LinkState* link, const AbandonFrame& abandon) {
     if (!link->may_submit_) return Malformed(link);
     const auto found = link->requests_.find(abandon.forward_.value_);
     if (found == link->requests_.end()) return true;
@@ -471,7 +472,7 @@
     return true;
   }
 
-  bool Take(Link* link, AnswerFrame& answer) {
+  bool Take(LinkState* link, AnswerFrame& answer) {
     if (!link->outgoing_ || !link->ready_) return Malformed(link);
     const auto found = forwards_.find(answer.forward_.value_);
     if (found == forwards_.end() || found->second.link_ != link) return true;
@@ -480,7 +481,7 @@
     return true;
   }
 
-  bool Take(Link* link, const PullSettingsFrame& /*pull*/) {
+  bool Take(LinkState* link, const PullSettingsFrame& /*pull*/) {
     // One document at a time: whoever asks reads it before asking again.
     const bool busy = link->queued_ != link->written_;
     if (link->outgoing_ || !link->ready_ || busy) return Malformed(link);
@@ -489,7 +490,7 @@
     return true;
   }
 
-  bool Take(Link* link, SettingsFrame& settings) {
+  bool Take(LinkState* link, SettingsFrame& settings) {
     if (link->pulls_.empty()) return Malformed(link);
     link->pulls_.erase(link->pulls_.begin());
     Emit(SettingsPulled{link->remote_,
@@ -511,7 +512,7 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
       const ForwardId id{deadlines_.begin()->second};
       const auto found = forwards_.find(id.value_);
-      Link* link = found->second.link_;
+      LinkState* link = found->second.link_;
       const bool queued = found->second.start_ != kNotQueued;
       Forget(found);
       if (!queued) {
@@ -527,7 +528,7 @@
 
   void CloseOld(Time now) {
     for (auto entry = links_.begin(); entry != links_.end();) {
-      Link* link = &*entry++;
+      LinkState* link = &*entry++;
       const bool pull_overdue =
           !link->pulls_.empty() && *link->pulls_.begin() <= now;
       const bool hello_overdue = !link->ready_ && now > link->hello_deadline_;
@@ -555,12 +556,12 @@
   event* flush_ = nullptr;
   evconnlistener* listener_ = nullptr;
   std::map<Address, Incarnation> peers_;
-  boost::intrusive::list<Link> links_;
+  boost::intrusive::list<LinkState> links_;
   size_t accepted_ = 0;
   size_t buffered_ = 0;  ///< Bytes not yet taken by the kernel.
   ForwardMap forwards_;
   std::set<std::pair<Time, uint64_t>> deadlines_;
-  std::unordered_map<uint64_t, LinkRequest> requests_;
+  std::unordered_map<uint64_t, PeerRequest> requests_;
   uint64_t last_request_ = 0;
   SettingsDocument document_;
   std::vector<PeerLinkEvent> events_;
