Stop the instance only once it holds every submission

Ruled out: a fault of the instance; the same starts never came from submissions that it had accepted.

--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -278,16 +278,17 @@
 BOOST_AUTO_TEST_CASE(ResumedInstanceStartsNothingHeldFromBefore) {
   constexpr int kJobs = 40;
   constexpr size_t kSlots = 8;
-  constexpr Duration kDeadline{1000};
   constexpr Duration kStopped{1600};
   Desk desk(1, kSlots, "min_task_timeout = 300ms\n");
   Ledger ledger;
   for (int i = 0; i < kJobs; ++i) {
-    ledger.Submit(desk.entry_.callers(), "p" + std::to_string(i),
-                  {1, 150, 16, kDeadline});
+    ledger.Submit(desk.entry_.callers(), "p" + std::to_string(i), {1, 300});
   }
+  // A submission that is still unread at the stop would be a new one after it.
   BOOST_REQUIRE(ledger.caller().RunUntil(
-      [&] { return desk.workers_.starts().size() >= kSlots; }));
+      [&] { return desk.Stat("jobs_accepted") == kJobs; }));
+  BOOST_REQUIRE(
+      WaitUntil([&] { return desk.workers_.starts().size() >= kSlots; }));
   desk.entry_.process().Signal(SIGSTOP);
   const Time stopped = MonotonicClock().Now();
   WaitUntil([&] { return MonotonicClock().Now() - stopped >= kStopped; });
@@ -296,7 +297,8 @@
   desk.entry_.process().Signal(SIGCONT);
   BOOST_REQUIRE(ledger.WaitAll());
   BOOST_TEST(desk.workers_.starts().size() == before);
-  BOOST_TEST(ledger.Count(Outcome::kNotRun) >= 1);
+  BOOST_TEST(before < kJobs);
+  BOOST_TEST(ledger.Count(Outcome::kNotRun) == kJobs - before);
   ledger.Submit(desk.entry_.callers(), "fresh", {1, 5});
   BOOST_REQUIRE(ledger.WaitAll());
   BOOST_TEST((ledger.Answer(kJobs).outcome_ == Outcome::kComplete));
