--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -55,7 +55,7 @@
     if (listener_ != nullptr) evconnlistener_free(listener_);
     event_free(timer_);
     event_free(flush_);
-    links_.clear_and_dispose([this](LinkState* link) { Free(link); });
+    links_.clear_and_dispose([this](Link* link) { Free(link); });
   }
 
   Impl(const Impl&) = delete;
@@ -70,10 +70,14 @@
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
         kListenBacklog, bind_to.get(), static_cast<int>(bind_to.size_));
     if (listener_ == nullptr) return {errno, std::system_category()};
-    return LocalAddress(evconnlistener_get_fd(listener_), &self_.peer_address_);
+    const auto error = LocalAddress(evconnlistener_get_fd(listener_), &bound_);
+    self_.peer_address_ = bound_;
+    return error;
   }
 
-  const Address& local() const { return self_.peer_address_; }
+  const Address& local() const { return bound_; }
+
+  void Advertise(const Address& address) { self_.peer_address_ = address; }
 
   void On(const PeersChanged& changed) {
     peers_.clear();
@@ -98,11 +102,11 @@
     if (buffered_ + frame.size() > limits_.max_buffered_bytes_) {
       return Refuse(forward.forward_, Errc::kQueueFull);
     }
-    LinkState* link = FindOrConnect(peer->first, peer->second);
+    Link* link = FindOrConnect(peer->first, peer->second);
     if (link == nullptr) {
       return Refuse(forward.forward_, Errc::kOwnerUnreachable);
     }
-    OpenForward& entry = forwards_[forward.forward_.value_];
+    LinkForward& entry = forwards_[forward.forward_.value_];
     entry.link_ = link;
     entry.deadline_ = clock_.Now() + forward.timeout_;
     deadlines_.emplace(entry.deadline_, forward.forward_.value_);
@@ -119,7 +123,7 @@
   void On(const AbandonForward& abandon) {
     const auto found = forwards_.find(abandon.forward_.value_);
     if (found == forwards_.end()) return;
-    LinkState* link = found->second.link_;
+    Link* link = found->second.link_;
     const bool sent = found->second.start_ != kNotQueued;
     Forget(found);
     if (sent) Write(link, EncodeFrame(AbandonFrame{abandon.forward_}));
@@ -128,14 +132,14 @@
   void On(const SendAnswer& message) {
     const auto found = requests_.find(message.request_.value_);
     if (found == requests_.end()) return;
-    const PeerRequest request = found->second;
+    const LinkRequest request = found->second;
     requests_.erase(found);
     request.link_->requests_.erase(request.forward_.value_);
     WriteAnswer(request.link_, request.forward_, *message.answer_);
   }
 
   void PullSettings(const Address& peer, Duration timeout) {
-    LinkState* link = FindOrConnect(peer, Incarnation());
+    Link* link = FindOrConnect(peer, Incarnation());
     if (link == nullptr) return Emit(SettingsPulled{peer, false, {}});
     link->pulls_.insert(clock_.Now() + timeout);
     if (link->ready_) Write(link, EncodeFrame(PullSettingsFrame{}));
@@ -153,7 +157,7 @@
   const PeerLinkStats& stats() const { return stats_; }
 
  private:
-  using ForwardMap = std::unordered_map<uint64_t, OpenForward>;
+  using ForwardMap = std::unordered_map<uint64_t, LinkForward>;
 
   // Events to the owner.
 
@@ -180,7 +184,7 @@
   }
 
   void Forget(ForwardMap::iterator found) {
-    OpenForward& forward = found->second;
+    LinkForward& forward = found->second;
     if (forward.start_ == kNotQueued) {
       buffered_ -= forward.frame_.size();
       std::erase(forward.link_->waiting_, ForwardId{found->first});
@@ -192,8 +196,8 @@
 
   // Connections.
 
-  LinkState* FindOrConnect(const Address& address, Incarnation expected) {
-    for (LinkState& link : links_) {
+  Link* FindOrConnect(const Address& address, Incarnation expected) {
+    for (Link& link : links_) {
       if (link.outgoing_ && !link.retired_ && link.remote_ == address &&
           link.expected_ == expected) {
         link.last_used_ = clock_.Now();
@@ -203,7 +207,7 @@
     SocketAddress target;
     if (ToSocketAddress(address, &target)) return nullptr;
     const evutil_socket_t fd = BoundSocket();
-    LinkState* link = Add(fd);
+    Link* link = Add(fd);
     if (link == nullptr) {
       if (fd >= 0) evutil_closesocket(fd);
       return nullptr;
@@ -222,7 +226,7 @@
   /// Socket that connects from the host that peers know, or -1 for any.
   evutil_socket_t BoundSocket() const {
     SocketAddress own;
-    if (ToSocketAddress({self_.peer_address_.host_, 0}, &own)) return -1;
+    if (ToSocketAddress({bound_.host_, 0}, &own)) return -1;
     const int type = SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
     const int fd = socket(own.get()->sa_family, type, 0);
     if (fd >= 0 && bind(fd, own.get(), own.size_) != 0) {
@@ -232,11 +236,11 @@
     return fd;
   }
 
-  LinkState* Add(evutil_socket_t fd) {
+  Link* Add(evutil_socket_t fd) {
     bufferevent* buffer =
         bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE);
     if (buffer == nullptr) return nullptr;
-    auto* link = new LinkState;
+    auto* link = new Link;
     link->buffer_ = buffer;
     link->owner_ = this;
     link->last_used_ = clock_.Now();
@@ -251,7 +255,7 @@
   }
 
   /// Frees what the link holds; it is already out of `links_`.
-  void Free(LinkState* link) {
+  void Free(Link* link) {
     buffered_ -= link->queued_ - link->written_;
     evbuffer_remove_cb(bufferevent_get_output(link->buffer_), &Impl::OnOutput,
                        link);
@@ -259,7 +263,7 @@
     delete link;
   }
 
-  void Remove(LinkState* link) {
+  void Remove(Link* link) {
     links_.erase(links_.iterator_to(*link));
     if (!link->outgoing_) --accepted_;
     Free(link);
@@ -267,7 +271,7 @@
 
   /// Ends everything that was open on a link, each with the outcome that is
   /// sure, and removes it.
-  void Lose(LinkState* link) {
+  void Lose(Link* link) {
     ++stats_.links_lost_;
     while (!link->forwards_.empty()) {
       const ForwardId id{*link->forwards_.begin()};
@@ -290,7 +294,7 @@
     Remove(link);
   }
 
-  void Write(LinkState* link, const std::string& bytes) {
+  void Write(Link* link, const std::string& bytes) {
     link->queued_ += bytes.size();
     buffered_ += bytes.size();
     link->last_used_ = clock_.Now();
@@ -298,7 +302,7 @@
     bufferevent_write(link->buffer_, bytes.data(), bytes.size());
   }
 
-  void WriteForward(OpenForward* forward) {
+  void WriteForward(LinkForward* forward) {
     forward->start_ = forward->link_->queued_;
     buffered_ -= forward->frame_.size();
     Write(forward->link_, forward->frame_);
@@ -306,8 +310,7 @@
   }
 
   /// Writes an answer, or drops a link whose peer does not read.
-  void WriteAnswer(LinkState* link, ForwardId forward,
-                   const JobAnswer& answer) {
+  void WriteAnswer(Link* link, ForwardId forward, const JobAnswer& answer) {
     std::string frame = EncodeAnswer(forward, answer);
     if (frame.size() - kFrameLengthBytes > config::kMaxFrameBytes) {
       frame = EncodeAnswer(forward, TooLarge(answer));
@@ -319,7 +322,7 @@
 
   static void OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
                        void* link) {
-    auto* self = static_cast<LinkState*>(link);
+    auto* self = static_cast<Link*>(link);
     self->written_ += info->n_deleted;
     static_cast<Impl*>(self->owner_)->buffered_ -= info->n_deleted;
   }
@@ -330,7 +333,7 @@
     SocketAddress source;
     std::copy_n(reinterpret_cast<const char*>(from), size,
                 reinterpret_cast<char*>(&source.storage_));
-    LinkState* link = nullptr;
+    Link* link = nullptr;
     Address remote;
     if (impl->accepted_ < impl->limits_.max_accepted_ &&
         !FromSocketAddress(source, &remote)) {
@@ -347,7 +350,7 @@
   }
 
   static void OnState(bufferevent* /*buffer*/, int16_t what, void* context) {
-    auto* link = static_cast<LinkState*>(context);
+    auto* link = static_cast<Link*>(context);
     auto* impl = static_cast<Impl*>(link->owner_);
     if ((what & BEV_EVENT_CONNECTED) == 0) return impl->Lose(link);
     ++impl->stats_.links_opened_;
@@ -358,7 +361,7 @@
   // Frames.
 
   static void OnRead(bufferevent* buffer, void* context) {
-    auto* link = static_cast<LinkState*>(context);
+    auto* link = static_cast<Link*>(context);
     auto* impl = static_cast<Impl*>(link->owner_);
     evbuffer* input = bufferevent_get_input(buffer);
     while (impl->ReadFrame(link, input)) {
@@ -366,7 +369,7 @@
   }
 
   /// Takes one frame. @returns false when none is whole or the link is gone.
-  bool ReadFrame(LinkState* link, evbuffer* input) {
+  bool ReadFrame(Link* link, evbuffer* input) {
     char head[kFrameLengthBytes];
     if (evbuffer_copyout(input, head, sizeof(head)) !=
         static_cast<ev_ssize_t>(sizeof(head))) {
@@ -392,7 +395,7 @@
     return std::visit([&](auto& body) { return Take(link, body); }, frame);
   }
 
-  bool Malformed(LinkState* link) {
+  bool Malformed(Link* link) {
     ++stats_.frames_malformed_;
     Lose(link);
     return false;
@@ -400,7 +403,7 @@
 
   // Each `Take` returns false when the link is gone.
 
-  bool Take(LinkState* link, const HelloFrame& hello) {
+  bool Take(Link* link, const HelloFrame& hello) {
     if (link->outgoing_ || link->ready_) return Malformed(link);
     const Address& claimed = hello.self_.peer_address_;
     const bool any = !hello.expected_.valid();
@@ -415,7 +418,7 @@
     return true;
   }
 
-  bool Take(LinkState* link, const HelloReplyFrame& reply) {
+  bool Take(Link* link, const HelloReplyFrame& reply) {
     if (!link->outgoing_ || link->ready_) return Malformed(link);
     const bool same =
         !link->expected_.valid() || reply.self_.incarnation_ == link->expected_;
@@ -435,7 +438,7 @@
     return true;
   }
 
-  bool Take(LinkState* link, SubmitFrame& submit) {
+  bool Take(Link* link, SubmitFrame& submit) {
     const bool fresh = link->requests_.count(submit.forward_.value_) == 0;
     if (!link->may_submit_ || !submit.forward_.valid() || !fresh ||
         (submit.cancel_ && !submit.submission_)) {
@@ -458,7 +461,7 @@
     return true;
   }
 
-  bool Take(LinkState* link, const AbandonFrame& abandon) {
+  bool Take(Link* link, const AbandonFrame& abandon) {
     if (!link->may_submit_) return Malformed(link);
     const auto found = link->requests_.find(abandon.forward_.value_);
     if (found == link->requests_.end()) return true;
@@ -468,7 +471,7 @@
     return true;
   }
 
-  bool Take(LinkState* link, AnswerFrame& answer) {
+  bool Take(Link* link, AnswerFrame& answer) {
     if (!link->outgoing_ || !link->ready_) return Malformed(link);
     const auto found = forwards_.find(answer.forward_.value_);
     if (found == forwards_.end() || found->second.link_ != link) return true;
@@ -477,7 +480,7 @@
     return true;
   }
 
-  bool Take(LinkState* link, const PullSettingsFrame& /*pull*/) {
+  bool Take(Link* link, const PullSettingsFrame& /*pull*/) {
     // One document at a time: whoever asks reads it before asking again.
     const bool busy = link->queued_ != link->written_;
     if (link->outgoing_ || !link->ready_ || busy) return Malformed(link);
@@ -486,7 +489,7 @@
     return true;
   }
 
-  bool Take(LinkState* link, SettingsFrame& settings) {
+  bool Take(Link* link, SettingsFrame& settings) {
     if (link->pulls_.empty()) return Malformed(link);
     link->pulls_.erase(link->pulls_.begin());
     Emit(SettingsPulled{link->remote_,
@@ -508,7 +511,7 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
       const ForwardId id{deadlines_.begin()->second};
       const auto found = forwards_.find(id.value_);
-      LinkState* link = found->second.link_;
+      Link* link = found->second.link_;
       const bool queued = found->second.start_ != kNotQueued;
       Forget(found);
       if (!queued) {
@@ -524,7 +527,7 @@
 
   void CloseOld(Time now) {
     for (auto entry = links_.begin(); entry != links_.end();) {
-      LinkState* link = &*entry++;
+      Link* link = &*entry++;
       const bool pull_overdue =
           !link->pulls_.empty() && *link->pulls_.begin() <= now;
       const bool hello_overdue = !link->ready_ && now > link->hello_deadline_;
@@ -543,6 +546,7 @@
 
   event_base* base_;
   InstanceId self_;
+  Address bound_;  ///< Where this instance listens.
   Handler handler_;
   PeerLinkLimits limits_;
   PeerLinkStats stats_;
@@ -551,12 +555,12 @@
   event* flush_ = nullptr;
   evconnlistener* listener_ = nullptr;
   std::map<Address, Incarnation> peers_;
-  boost::intrusive::list<LinkState> links_;
+  boost::intrusive::list<Link> links_;
   size_t accepted_ = 0;
   size_t buffered_ = 0;  ///< Bytes not yet taken by the kernel.
   ForwardMap forwards_;
   std::set<std::pair<Time, uint64_t>> deadlines_;
-  std::unordered_map<uint64_t, PeerRequest> requests_;
+  std::unordered_map<uint64_t, LinkRequest> requests_;
   uint64_t last_request_ = 0;
   SettingsDocument document_;
   std::vector<PeerLinkEvent> events_;
@@ -571,6 +575,7 @@
   return impl_->Listen(address);
 }
 const Address& PeerLink::local() const { return impl_->local(); }
+void PeerLink::Advertise(const Address& address) { impl_->Advertise(address); }
 void PeerLink::On(const PeersChanged& peers) { impl_->On(peers); }
 void PeerLink::On(const ForwardSubmission& forward) { impl_->On(forward); }
 void PeerLink::On(const AbandonForward& abandon) { impl_->On(abandon); }
--- a/src/peer_link_state.h
+++ b/src/peer_link_state.h
@@ -21,7 +21,7 @@
 using ListHook = boost::intrusive::list_base_hook<>;
 
 /// One TCP connection to or from a peer.
-struct LinkState : ListHook {
+struct Link : ListHook {
   bufferevent* buffer_ = nullptr;
   void* owner_ = nullptr;
   bool outgoing_ = false;
@@ -40,15 +40,15 @@
   std::unordered_map<uint64_t, RequestId> requests_;  ///< By forward id.
 };
 
-struct OpenForward {
-  LinkState* link_ = nullptr;
+struct LinkForward {
+  Link* link_ = nullptr;
   uint64_t start_ = kNotQueued;  ///< Offset of its first byte in the stream.
   Time deadline_;
   std::string frame_;  ///< Kept until the hello is accepted.
 };
 
-struct PeerRequest {
-  LinkState* link_ = nullptr;
+struct LinkRequest {
+  Link* link_ = nullptr;
   ForwardId forward_;
 };
 
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -3,6 +3,8 @@
 
 #include "harness.h"
 #include "settings_store.h"
+#include "settings_sync.h"
+#include "unit/fake_store.h"
 
 namespace gentiandeal::process {
 namespace {
@@ -48,7 +50,10 @@
 /// One run of `gentiandeal settings`.
 struct CommandRun {
   int exit_ = -1;
-  nlohmann::json output_;
+  std::string text_;
+  nlohmann::json output() const {
+    return nlohmann::json::parse(text_, nullptr, false);
+  }
 };
 
 CommandRun RunCommand(std::vector<std::string> words) {
@@ -56,9 +61,8 @@
   words.emplace_back("--json");
   Process process("gentiandeal", words);
   CommandRun run;
-  const std::string output = process.ReadOutput();
+  run.text_ = process.ReadOutput();
   run.exit_ = process.WaitExit();
-  run.output_ = nlohmann::json::parse(output, nullptr, false);
   return run;
 }
 
@@ -170,10 +174,149 @@
   std::error_code error_;
 };
 
+/// Entry instances of one data centre with a platform that lists them.
+class Site {
+ public:
+  explicit Site(int instances) {
+    for (int i = 0; i < instances; ++i) Start({});
+    BOOST_REQUIRE(WaitUntil([&] {
+      return std::all_of(
+          instances_.begin(), instances_.end(), [&](const auto& instance) {
+            return instance->Status()["peers"].size() + 1 == instances_.size();
+          });
+    }));
+  }
+
+  /// Starts one more instance and lists it.
+  Instance* Start(const std::vector<Address>& seed_peers) {
+    BootFile boot;
+    boot.platform_ = platform_.address();
+    boot.seed_peers_ = seed_peers;
+    instances_.push_back(std::make_unique<Instance>(folder_, boot));
+    Instance* instance = instances_.back().get();
+    platform_.List("gentiandeal", instance->callers(),
+                   {{"peers", ToString(instance->peers())}},
+                   nlohmann::json::array());
+    return instance;
+  }
+
+  CommandRun Apply(const std::string& branch, const std::string& text) {
+    return ApplyBranch(&platform_, branch, folder_.Write("branch.ini", text));
+  }
+
+  /// Whether every instance has this revision in force within `patience`.
+  bool AllReach(uint64_t revision, Duration patience) {
+    return WaitUntil(
+        [&] {
+          return std::all_of(instances_.begin(), instances_.end(),
+                             [&](const auto& instance) {
+                               return RevisionOf(instance.get()) == revision;
+                             });
+        },
+        patience);
+  }
+
+  static uint64_t RevisionOf(Instance* instance) {
+    const nlohmann::json status = instance->Status();
+    return status.is_object() ? status.value("settings_revision", 0U) : 0U;
+  }
+
+  PlatformProcess platform_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+
+ private:
+  Folder folder_;
+};
+
+/// The stated target for a change to be in force everywhere.
+constexpr Duration kInForce{4000};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(settings)
 
+BOOST_AUTO_TEST_CASE(ChangesReachEveryInstanceAndNeverRevert) {
+  Site site(4);
+  BOOST_TEST(site.Apply("care", Weight(1)).exit_ == 0);
+  BOOST_TEST(site.AllReach(1, kInForce));
+  site.platform_.Control("snapshot");
+  BOOST_TEST(site.Apply("care", Weight(2)).exit_ == 0);
+  BOOST_TEST(site.AllReach(2, kInForce));
+  // The store is restored to revision 1, which ends the watches that wait;
+  // the instances write 2 back.
+  BOOST_TEST(WaitUntil([&] {
+    return site.platform_.Control("calls")["waiting"] ==
+           SettingsSync::kWatchers;
+  }));
+  site.platform_.Control("restore");
+  const Address store = site.platform_.address();
+  BOOST_TEST(WaitUntil([&] {
+    for (const auto& instance : site.instances_) {
+      BOOST_TEST(Site::RevisionOf(instance.get()) == 2);
+    }
+    return ReadContent(store).revision_.value_ == 2;
+  }));
+  // Restored once more and changed at once: no number is used twice.
+  site.platform_.Control("restore");
+  BOOST_TEST(site.Apply("desk", Weight(3)).output()["revision"] == 3);
+  BOOST_TEST(site.AllReach(3, kInForce));
+  CheckAudit(store, 3);
+  BOOST_TEST(ReadContent(store).branches_.at("care") == Weight(2));
+}
+
+BOOST_AUTO_TEST_CASE(ReplacedInstanceAsksItsPeersWhileTheStoreIsDown) {
+  Site site(2);
+  BOOST_TEST(site.Apply("care", Weight(1)).exit_ == 0);
+  BOOST_TEST(site.AllReach(1, kInForce));
+  site.platform_.Control("faults", {{"outage", true}});
+  std::vector<Address> seeds;
+  for (const auto& instance : site.instances_) {
+    seeds.push_back(instance->peers());
+  }
+  const Folder folder;
+  BootFile boot;
+  boot.platform_ = site.platform_.address();
+  boot.seed_peers_ = seeds;
+  Instance replaced(folder, boot);
+  BOOST_TEST(WaitUntil([&] { return replaced.Ready(); }));
+  BOOST_TEST(Site::RevisionOf(&replaced) == 1);
+  // So, too, when the store's answers do not come at all.
+  site.platform_.Control("faults", {{"delay_ms", 600000}});
+  Instance waiting(folder, boot);
+  BOOST_TEST(WaitUntil([&] { return waiting.Ready(); }));
+  BOOST_TEST(Site::RevisionOf(&waiting) == 1);
+  // With neither peers nor store, it serves from its boot file.
+  boot.seed_peers_.clear();
+  boot.settings_file_ = folder.Write("tree.ini", "[team care]\nweight = 2\n");
+  Instance alone(folder, boot);
+  BOOST_TEST(WaitUntil([&] { return alone.Ready(); }));
+  BOOST_TEST(Site::RevisionOf(&alone) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(BrokenDocumentLeavesTheRunningOneInForce) {
+  Site site(1);
+  BOOST_TEST(site.Apply("care", Weight(1)).exit_ == 0);
+  BOOST_TEST(site.AllReach(1, kInForce));
+  SettingsContent content = Changed(ReadContent(site.platform_.address()), "x",
+                                    "care", "[team]\nweight = 0\n");
+  const HttpResponse put = Fetch(site.platform_.address(),
+                                 {"PUT",
+                                  std::string("/v1/kv/") + kSettingsKey,
+                                  {},
+                                  WriteDocument(content)},
+                                 kPatience);
+  BOOST_TEST(put.status_ == 200);
+  Instance* instance = site.instances_.front().get();
+  BOOST_TEST(WaitUntil([&] {
+    const HttpResponse metrics =
+        Fetch(instance->callers(), {"GET", "/metrics", {}, ""}, kPatience);
+    return metrics.body_.find("gentiandeal_settings_refused_total 1") !=
+           std::string::npos;
+  }));
+  BOOST_TEST(Site::RevisionOf(instance) == 1);
+  BOOST_TEST(instance->Ready());
+}
+
 BOOST_AUTO_TEST_CASE(ClientTellsLostFromNotSent) {
   PlatformProcess platform;
   Client client(platform.address());
@@ -282,26 +425,26 @@
   BOOST_TEST(ApplyBranch(&platform, "care", good).exit_ == 0);
   const CommandRun refused = ApplyBranch(&platform, "care", broken);
   BOOST_TEST(refused.exit_ == 1);
-  BOOST_TEST(refused.output_["faults"].size() == 2);
+  BOOST_TEST(refused.output()["faults"].size() == 2);
   const CommandRun orphan = ApplyBranch(&platform, "desk/day", good);
   BOOST_TEST(orphan.exit_ == 1);
 
   platform.Control("faults", {{"lose_reply", 1}});
   const CommandRun lost = ApplyBranch(&platform, "care", better);
   BOOST_TEST(lost.exit_ == 0);
-  BOOST_TEST(lost.output_["revision"] == 2);
+  BOOST_TEST(lost.output()["revision"] == 2);
   CheckAudit(platform.address(), 2);
 
   const std::string at = ToString(platform.address());
   const CommandRun shown =
       RunCommand({"show", "--platform", at, "--branch", "care"});
-  BOOST_TEST(shown.output_["values"][0]["value"] == "3");
-  BOOST_TEST(shown.output_["values"][0]["origin"] == "care");
+  BOOST_TEST(shown.output()["values"][0]["value"] == "3");
+  BOOST_TEST(shown.output()["values"][0]["origin"] == "care");
   const CommandRun last =
       RunCommand({"history", "--platform", at, "--count", "1"});
-  BOOST_TEST(last.output_["who"] == "Maëlle");
-  BOOST_TEST(last.output_["before"] == Weight(2));
-  BOOST_TEST(last.output_["id"] == lost.output_["change"]);
+  BOOST_TEST(last.output()["who"] == "Maëlle");
+  BOOST_TEST(last.output()["before"] == Weight(2));
+  BOOST_TEST(last.output()["id"] == lost.output()["change"]);
 
   // An instance is listed and can't be asked: its revision may be higher.
   platform.List("gentiandeal", {"127.0.0.1", 1}, nlohmann::json::object(),
