Copy no null pointer for a blanked settings line

Cause: undefined-behaviour sanitizer stopped the unit tests: memcpy of an empty view's null pointer for an over-long line.

--- a/src/ini_reader.cc
+++ b/src/ini_reader.cc
@@ -34,7 +34,7 @@
   reading->rest_.remove_prefix(end == std::string_view::npos ? line.size()
                                                              : end + 1);
   ++reading->line_;
-  if (line.size() > kMaxLineBytes || size < INI_MAX_LINE) line = {};
+  if (line.size() > kMaxLineBytes || size < INI_MAX_LINE) line = "";
   std::memcpy(buffer, line.data(), line.size());
   buffer[line.size()] = '\n';
   buffer[line.size() + 1] = '\0';
