--- a/src/cmd_load.cc
+++ b/src/cmd_load.cc
@@ -145,7 +145,8 @@
 /// @returns an error text, empty when the options hold.
 std::string CheckOptions(const LoadOptions& options) {
   const TrafficOptions& traffic = options.traffic_;
-  if (traffic.mix_ == nullptr) return "--mix is armor or salvavidas";
+  if (traffic.mix_ == nullptr)
+    return "--mix is armor, salvavidas, single, job-20 or job-260";
   if ((options.rate_ > 0) == (options.load_percent_ > 0)) {
     return "give either --rate or --load";
   }
@@ -168,7 +169,8 @@
   traffic.seconds_ = 10;
   AddTargetOptions(&all, &options->targets_);
   auto add = all.add_options();
-  add("mix", po::value(&options->mix_), "armor or salvavidas");
+  add("mix", po::value(&options->mix_),
+      "armor, salvavidas, single, job-20 or job-260");
   add("rate", po::value(&options->rate_), "jobs a second");
   add("load", po::value(&options->load_percent_),
       "percent of all slots to ask for, in place of --rate");
--- a/src/traffic_mix.cc
+++ b/src/traffic_mix.cc
@@ -26,9 +26,20 @@
 constexpr TrafficSize kSalvavidasSizes[] = {
     {0.80, 1, 1}, {0.16, 2, 24}, {0.04, 25, 260}};
 
+// Plain mixes, comparable with the benchmark on a virtual clock.
+constexpr TrafficKind kPlainKinds[] = {
+    {"plain", "POST", "/plain", 1, {50}, {1000}, 256}};
+constexpr TrafficSize kOneTask[] = {{1, 1, 1}};
+constexpr TrafficSize kTwentyTasks[] = {{1, 20, 20}};
+constexpr TrafficSize kFullJob[] = {
+    {1, config::kMaxTasksPerJob, config::kMaxTasksPerJob}};
+
 constexpr TrafficMix kMixes[] = {
     {"armor", kArmorKinds, kArmorSizes},
     {"salvavidas", kSalvavidasKinds, kSalvavidasSizes},
+    {"single", kPlainKinds, kOneTask},
+    {"job-20", kPlainKinds, kTwentyTasks},
+    {"job-260", kPlainKinds, kFullJob},
 };
 
 /// Draws of one run. The transforms are written out so that a seed gives the
--- a/src/traffic_mix.h
+++ b/src/traffic_mix.h
@@ -36,7 +36,8 @@
   std::span<const TrafficSize> sizes_;
 };
 
-/// Finds `armor` or `salvavidas`. @returns null for any other name.
+/// Finds `armor`, `salvavidas`, `single`, `job-20` or `job-260`. @returns null
+/// for any other name.
 const TrafficMix* FindMix(std::string_view name);
 
 struct PlannedTask {
