--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -3,8 +3,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -30,11 +28,6 @@
 /// Tries to find one port that is free for TCP and UDP.
 constexpr int kPortTries = 16;
 constexpr uint64_t kPeerRequestBit = uint64_t{1} << 63;
-void SetOptions(evutil_socket_t fd) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-}
 
 }  // namespace
 
@@ -346,7 +339,7 @@
     }
     ++impl->accepted_;
     ++impl->stats_.links_accepted_;
-    SetOptions(fd);
+    SetLinkOptions(fd);
     link->remote_ = remote;
   }
 
@@ -355,7 +348,7 @@
     auto* impl = static_cast<Impl*>(link->owner_);
     if ((what & BEV_EVENT_CONNECTED) == 0) return impl->Lose(link);
     ++impl->stats_.links_opened_;
-    SetOptions(bufferevent_getfd(link->buffer_));
+    SetLinkOptions(bufferevent_getfd(link->buffer_));
     impl->Write(link, EncodeFrame(HelloFrame{impl->self_, link->expected_}));
   }
 
--- a/src/socket_address.cc
+++ b/src/socket_address.cc
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <cerrno>
 
@@ -55,4 +57,10 @@
   return FromSocketAddress(local, out);
 }
 
+void SetLinkOptions(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+}
+
 }  // namespace gentiandeal
--- a/src/socket_address.h
+++ b/src/socket_address.h
@@ -28,6 +28,9 @@
 /// Address that a socket is bound to.
 std::error_code LocalAddress(int fd, Address* out);
 
+/// Sends small frames at once and notices dead peers.
+void SetLinkOptions(int fd);
+
 }  // namespace gentiandeal
 
 #endif  // GENTIANDEAL_SRC_SOCKET_ADDRESS_H_
