--- a/src/cmd_load.cc
+++ b/src/cmd_load.cc
@@ -145,8 +145,9 @@
 /// @returns an error text, empty when the options hold.
 std::string CheckOptions(const LoadOptions& options) {
   const TrafficOptions& traffic = options.traffic_;
-  if (traffic.mix_ == nullptr)
+  if (traffic.mix_ == nullptr) {
     return "--mix is armor, salvavidas, single, job-20 or job-260";
+  }
   if ((options.rate_ > 0) == (options.load_percent_ > 0)) {
     return "give either --rate or --load";
   }
