--- a/src/dispatcher_forward.cc
+++ b/src/dispatcher_forward.cc
@@ -8,6 +8,16 @@
 /// Peers abroad that are tried for one job while none has been reached.
 constexpr int kMaxForwardTries = 2;
 
+ForwardSubmission ToOwner(const Forward& forward, const PeerView& owner,
+                          const SubmissionId& submission, Duration timeout) {
+  ForwardSubmission command;
+  command.forward_ = forward.id_;
+  command.peer_ = owner.id_;
+  command.submission_ = submission;
+  command.timeout_ = timeout;
+  return command;
+}
+
 }  // namespace
 
 void Dispatcher::Impl::TakePeers(const PeersChanged& message) {
@@ -61,12 +71,9 @@
   request.forward_ = forward->id_;
   ++stats_.forwards_to_owner_;
 
-  ForwardSubmission command;
-  command.forward_ = forward->id_;
-  command.peer_ = peer->id_;
-  command.submission_ = message.submission_;
+  ForwardSubmission command = ToOwner(*forward, *peer, *message.submission_,
+                                      deadline + config::kForwardGrace);
   command.job_ = std::make_shared<const JobSpec>(message.job_);
-  command.timeout_ = deadline + config::kForwardGrace;
   out->push_back(std::move(command));
 }
 
@@ -89,12 +96,9 @@
   request.forward_ = forward->id_;
   ++stats_.forwards_to_owner_;
 
-  ForwardSubmission command;
-  command.forward_ = forward->id_;
-  command.peer_ = peer->id_;
-  command.submission_ = message.submission_;
+  ForwardSubmission command =
+      ToOwner(*forward, *peer, message.submission_, timeout);
   command.cancel_ = true;
-  command.timeout_ = timeout;
   out->push_back(std::move(command));
 }
 
