Share the HTTP server and the bounded archive with coming modules

Cause: the platform adapter needs an HTTP server towards callers and frames between instances; both stood inside one caller. HttpServer is taken out of CallerServer, WireReader and WireWriter out of peer_wire.

--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,231 @@
+#include "http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <evhtp/evhtp.h>
+
+#include <unordered_map>
+
+#include "guarded_connection.h"
+#include "socket_address.h"
+
+namespace gentiandeal {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr timeval kSweepInterval{1, 0};
+
+std::vector<HttpField> CopyFields(evhtp_headers_t* headers) {
+  std::vector<HttpField> fields;
+  for (evhtp_kv_t* kv = headers->tqh_first; kv != nullptr;
+       kv = kv->next.tqe_next) {
+    fields.emplace_back(std::string(kv->key, kv->klen),
+                        std::string(kv->val, kv->vlen));
+  }
+  return fields;
+}
+
+std::string TakeBody(evbuffer* buffer) {
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, body.data(), body.size());
+  return body;
+}
+
+bool WantsKeepAlive(const evhtp_request_t* request) {
+  const char* connection = evhtp_header_find(request->headers_in, "Connection");
+  if (connection == nullptr) return request->proto == EVHTP_PROTO_11;
+  if (SameFieldName(connection, "close")) return false;
+  return request->proto == EVHTP_PROTO_11 ||
+         SameFieldName(connection, "keep-alive");
+}
+
+void AddField(evhtp_request_t* request, const std::string& name,
+              const std::string& value) {
+  evhtp_headers_add_header(request->headers_out,
+                           evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(event_base* base, HttpServerEvents events)
+      : base_(base), events_(std::move(events)), htp_(evhtp_new(base, this)) {
+    evhtp_set_gencb(htp_, &OnRequest, this);
+    evhtp_set_post_accept_cb(htp_, &OnAccept, this);
+    evhtp_set_parser_flags(htp_, EVHTP_PARSE_QUERY_FLAG_LENIENT);
+    // The guards refuse earlier, with an answer.
+    evhtp_set_max_body_size(htp_, 2 * config::kMaxBodyBytes);
+    sweep_ = event_new(base, -1, EV_PERSIST, &OnSweep, this);
+    event_add(sweep_, &kSweepInterval);
+  }
+
+  ~Impl() {
+    closing_ = true;
+    event_free(sweep_);
+    while (!connections_.empty()) {
+      evhtp_connection_free(connections_.begin()->first);
+    }
+    evhtp_unbind_socket(htp_);
+    evhtp_free(htp_);
+  }
+
+  std::error_code Listen(const Address& address) {
+    const bool v6 = address.host_.find(':') != std::string::npos;
+    const std::string host = (v6 ? "ipv6:" : "ipv4:") + address.host_;
+    if (evhtp_bind_socket(htp_, host.c_str(), address.port_, kBacklog) != 0) {
+      return {errno, std::generic_category()};
+    }
+    return LocalAddress(evconnlistener_get_fd(htp_->server), &address_);
+  }
+
+  void StopListening() { evconnlistener_disable(htp_->server); }
+
+  void Reply(RequestId id, const HttpReply& reply) {
+    const auto found = open_.find(id.value_);
+    if (found == open_.end()) return;
+    evhtp_request_t* request = found->second;
+    open_.erase(found);
+    GuardedConnection* connection = Find(request->conn);
+    connection->waiting_ = RequestId{};
+    for (const auto& [name, value] : reply.fields_) {
+      AddField(request, name, value);
+    }
+    evbuffer_add(request->buffer_out, reply.body_.data(), reply.body_.size());
+    Finish(request, connection, reply);
+  }
+
+  Address address() const { return address_; }
+  const HttpServerStats& stats() const { return stats_; }
+
+ private:
+  static evhtp_res OnAccept(evhtp_connection_t* conn, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    self->connections_.emplace(
+        conn, std::make_unique<GuardedConnection>(self->base_, conn));
+    ++self->stats_.connections_now_;
+    const auto hook = [&](evhtp_hook_type type, auto callback) {
+      // The library takes every hook as one type and casts it back.
+      const auto generic = reinterpret_cast<void (*)()>(callback);
+      evhtp_connection_set_hook(conn, type,
+                                reinterpret_cast<evhtp_hook>(generic), self);
+    };
+    hook(evhtp_hook_on_request_fini, &OnRequestEnd);
+    hook(evhtp_hook_on_connection_fini, &OnConnectionEnd);
+    hook(evhtp_hook_on_event, &OnSocketEvent);
+    return EVHTP_RES_OK;
+  }
+
+  GuardedConnection* Find(evhtp_connection_t* conn) const {
+    const auto found = connections_.find(conn);
+    return found == connections_.end() ? nullptr : found->second.get();
+  }
+
+  static evhtp_res OnRequestEnd(evhtp_request_t* request, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    GuardedConnection* connection = self->Find(request->conn);
+    if (connection != nullptr) self->Forget(connection);
+    return EVHTP_RES_OK;
+  }
+
+  static evhtp_res OnConnectionEnd(evhtp_connection_t* conn, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    const auto found = self->connections_.find(conn);
+    if (found == self->connections_.end()) return EVHTP_RES_OK;
+    self->Forget(found->second.get());
+    found->second->OnLibraryClose();
+    if (found->second->refused()) ++self->stats_.refused_malformed_;
+    self->connections_.erase(found);
+    --self->stats_.connections_now_;
+    return EVHTP_RES_OK;
+  }
+
+  // The library keeps a connection that ended while a request waits; its
+  // caller is gone all the same.
+  static void OnSocketEvent(evhtp_connection_t* conn, short events, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    GuardedConnection* connection = self->Find(conn);
+    const bool ended = (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+    if (connection == nullptr || !ended) return;
+    self->Forget(connection);
+    connection->CloseSoon();
+  }
+
+  static void OnSweep(int, short, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    const Time now = self->clock_.Now();
+    for (auto& [conn, connection] : self->connections_) {
+      if (connection->Sweep(now)) ++self->stats_.timed_out_slow_;
+    }
+  }
+
+  static void OnRequest(evhtp_request_t* request, void* arg) {
+    auto* self = static_cast<Impl*>(arg);
+    GuardedConnection* connection = self->Find(request->conn);
+    connection->OnRequest();
+    ++self->stats_.requests_;
+    const RequestId id{++self->last_request_};
+    self->open_.emplace(id.value_, request);
+    connection->waiting_ = id;
+    CallerRequest read;
+    read.method_ = htparser_get_methodstr_m(request->method);
+    read.path_ = connection->target();
+    read.fields_ = CopyFields(request->headers_in);
+    read.body_ = TakeBody(request->buffer_in);
+    self->events_.request_(id, std::move(read));
+  }
+
+  void Forget(GuardedConnection* connection) {
+    if (!connection->waiting_.valid()) return;
+    const RequestId id = connection->waiting_;
+    connection->waiting_ = RequestId{};
+    open_.erase(id.value_);
+    if (!closing_) events_.gone_(id);
+  }
+
+  void Finish(evhtp_request_t* request, GuardedConnection* connection,
+              const HttpReply& reply) {
+    const bool last =
+        connection->must_close() || reply.last_ || !WantsKeepAlive(request);
+    if (last) AddField(request, "Connection", "close");
+    if (reply.body_.empty()) AddField(request, "Content-Length", "0");
+    // The connection is closed by its guard, once the answer has left.
+    evhtp_request_set_keepalive(request, 1);
+    evhtp_send_reply(request, static_cast<evhtp_res>(reply.status_));
+    connection->OnAnswered(last);
+  }
+
+  event_base* base_;
+  HttpServerEvents events_;
+  evhtp_t* htp_;
+  event* sweep_ = nullptr;
+  MonotonicClock clock_;
+  Address address_;
+  uint64_t last_request_ = 0;
+  bool closing_ = false;
+  std::unordered_map<evhtp_connection_t*, std::unique_ptr<GuardedConnection>>
+      connections_;
+  std::unordered_map<uint64_t, evhtp_request_t*> open_;
+  HttpServerStats stats_;
+};
+
+HttpServer::HttpServer(event_base* base, HttpServerEvents events)
+    : impl_(std::make_unique<Impl>(base, std::move(events))) {}
+HttpServer::~HttpServer() = default;
+
+std::error_code HttpServer::Listen(const Address& address) {
+  return impl_->Listen(address);
+}
+
+void HttpServer::StopListening() { impl_->StopListening(); }
+
+void HttpServer::Reply(RequestId request, const HttpReply& reply) {
+  impl_->Reply(request, reply);
+}
+
+Address HttpServer::address() const { return impl_->address(); }
+
+const HttpServerStats& HttpServer::stats() const { return impl_->stats(); }
+
+}  // namespace gentiandeal
--- a/src/peer_wire.cc
+++ b/src/peer_wire.cc
@@ -3,12 +3,10 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cmath>
-#include <istream>
 #include <limits>
-#include <ostream>
-#include <streambuf>
+
+#include "wire_archive.h"
 
 namespace gentiandeal {
 namespace {
@@ -22,118 +20,9 @@
 constexpr double kCodesPerDoubling = 16;
 constexpr uint32_t kMaxFieldsPerMessage = 4096;
 
-class AppendBuffer : public std::streambuf {
- public:
-  explicit AppendBuffer(std::string* out) : out_(out) {}
-
- protected:
-  std::streamsize xsputn(const char* data, std::streamsize size) override {
-    out_->append(data, static_cast<size_t>(size));
-    return size;
-  }
-  int_type overflow(int_type c) override {
-    out_->push_back(static_cast<char>(c));
-    return c;
-  }
-
- private:
-  std::string* out_;
-};
-
-class ViewBuffer : public std::streambuf {
- public:
-  explicit ViewBuffer(std::string_view bytes) {
-    char* begin = const_cast<char*>(bytes.data());
-    setg(begin, begin, begin + bytes.size());
-  }
-  size_t left() const { return static_cast<size_t>(egptr() - gptr()); }
-};
-
-/// Writes fields through cereal; sizes are 32 bits wide.
-class Writer {
- public:
-  static constexpr bool kReads = false;
-  explicit Writer(std::string* out)
-      : buffer_(out), stream_(&buffer_), archive_(stream_) {}
-
-  template <typename T>
-  requires std::is_arithmetic_v<T>
-  void Value(const T& value) { archive_(value); }
-  void Text(const std::string& text) {
-    archive_(static_cast<uint32_t>(text.size()));
-    archive_(cereal::binary_data(text.data(), text.size()));
-  }
-  /// Writes the number of elements.
-  template <typename T, typename Count>
-  void Size(const std::vector<T>& elements, size_t /*max*/, Count /*type*/) {
-    archive_(static_cast<Count>(elements.size()));
-  }
-  bool failed() const { return false; }
-
- private:
-  AppendBuffer buffer_;
-  std::ostream stream_;
-  cereal::PortableBinaryOutputArchive archive_;
-};
-
-/// Reads fields through cereal. Once it failed it stays failed.
-class Reader {
- public:
-  static constexpr bool kReads = true;
-  explicit Reader(std::string_view bytes)
-      : buffer_(bytes), stream_(&buffer_), archive_(stream_) {}
-
-  template <typename T>
-  requires std::is_arithmetic_v<T>
-  void Value(T& value) {
-    if (left() < sizeof(T)) failed_ = true;
-    if (!failed_) archive_(value);
-  }
-  void Text(std::string& text) {
-    uint32_t size = 0;
-    Value(size);
-    if (size > left()) failed_ = true;
-    if (failed_) return;
-    text.resize(size);
-    archive_(cereal::binary_data(text.data(), text.size()));
-  }
-  /// Reads the number of elements; each takes at least one byte.
-  template <typename T, typename Count>
-  void Size(std::vector<T>& elements, size_t max, Count /*type*/) {
-    Count size = 0;
-    Value(size);
-    if (size > max || size > left()) failed_ = true;
-    if (!failed_) elements.resize(size);
-  }
-  size_t left() const { return buffer_.left(); }
-  bool failed() const { return failed_; }
-  void Fail() { failed_ = true; }
-
- private:
-  ViewBuffer buffer_;
-  std::istream stream_;
-  cereal::PortableBinaryInputArchive archive_;
-  bool failed_ = false;
-};
-
-// One function for each type serves both directions.
-
-template <typename A, typename Tag, typename Rep, Rep kInvalidValue>
-void Fields(A& archive, Id<Tag, Rep, kInvalidValue>& id) {
-  archive.Value(id.value_);
-}
-
-template <typename A>
-void Fields(A& archive, bool& flag) {
-  uint8_t byte = flag ? 1 : 0;
-  archive.Value(byte);
-  if constexpr (A::kReads) flag = byte != 0;
-}
+}  // namespace
 
-template <typename A>
-void Fields(A& archive, Duration& duration) {
-  archive.Value(duration.ms_);
-}
+// Found by the lists in wire_archive.h, so not in an unnamed namespace.
 
 template <typename A>
 void Fields(A& archive, WireTeamUse& use) {
@@ -149,15 +38,6 @@
   archive.Value(use.in_use_);
 }
 
-template <typename A, typename T, typename Count>
-void List(A& archive, std::vector<T>& elements, size_t max, Count count) {
-  archive.Size(elements, max, count);
-  for (T& element : elements) {
-    if (archive.failed()) return;
-    Fields(archive, element);
-  }
-}
-
 template <typename A>
 void Fields(A& archive, DatagramHead& head) {
   Fields(archive, head.incarnation_);
@@ -256,11 +136,6 @@
   archive.Text(answer.body_);
 }
 
-template <typename A>
-void Fields(A& archive, uint16_t& value) {
-  archive.Value(value);
-}
-
 /// Errors of this project keep their kind; others arrive as a lost link.
 template <typename A>
 void Fields(A& archive, std::error_code& error) {
@@ -365,6 +240,8 @@
   archive.Text(frame.document_);
 }
 
+namespace {
+
 /// Index of `T` among the alternatives of a variant; its kind on the wire.
 template <typename T, typename Variant>
 uint8_t Kind() {
@@ -372,7 +249,7 @@
 }
 
 template <typename Variant, size_t kIndex = 0>
-bool ReadAlternative(Reader& reader, size_t kind, Variant* out) {
+bool ReadAlternative(WireReader& reader, size_t kind, Variant* out) {
   if constexpr (kIndex == std::variant_size_v<Variant>) {
     return false;
   } else {
@@ -387,7 +264,7 @@
 template <typename Variant>
 bool ReadWhole(std::string_view bytes, uint8_t expected_format, Variant* out) {
   try {
-    Reader reader(bytes);
+    WireReader reader(bytes);
     uint8_t format = 0;
     uint8_t kind = 0;
     reader.Value(format);
@@ -399,7 +276,7 @@
   }
 }
 
-void WriteHead(Writer& writer, uint8_t format, uint8_t kind) {
+void WriteHead(WireWriter& writer, uint8_t format, uint8_t kind) {
   writer.Value(format);
   writer.Value(kind);
 }
@@ -432,7 +309,7 @@
 
 std::string Encode(const Datagram& datagram) {
   std::string bytes;
-  Writer writer(&bytes);
+  WireWriter writer(&bytes);
   WriteHead(writer, kDatagramFormat, static_cast<uint8_t>(datagram.index()));
   // Writing does not change the fields; they are shared with reading.
   std::visit([&writer](auto& body) { Fields(writer, body); },
@@ -453,7 +330,7 @@
 
 std::string EncodeFrame(const Frame& frame) {
   std::string bytes(kFrameLengthBytes, '\0');
-  Writer writer(&bytes);
+  WireWriter writer(&bytes);
   WriteHead(writer, kFrameFormat, static_cast<uint8_t>(frame.index()));
   std::visit([&writer](auto& body) { Fields(writer, body); },
              const_cast<Frame&>(frame));
@@ -463,7 +340,7 @@
 
 std::string EncodeSubmit(const ForwardSubmission& forward) {
   std::string bytes(kFrameLengthBytes, '\0');
-  Writer writer(&bytes);
+  WireWriter writer(&bytes);
   WriteHead(writer, kFrameFormat, Kind<SubmitFrame, Frame>());
   auto& fields = const_cast<ForwardSubmission&>(forward);
   SubmitHead(writer, fields.forward_, fields.submission_, fields.cancel_,
@@ -477,7 +354,7 @@
 
 std::string EncodeAnswer(ForwardId forward, const JobAnswer& answer) {
   std::string bytes(kFrameLengthBytes, '\0');
-  Writer writer(&bytes);
+  WireWriter writer(&bytes);
   WriteHead(writer, kFrameFormat, Kind<AnswerFrame, Frame>());
   Fields(writer, forward);
   Fields(writer, const_cast<JobAnswer&>(answer));
