--- a/src/commands.h
+++ b/src/commands.h
@@ -20,6 +20,7 @@
 using Words = std::vector<std::string>;
 
 int RunServe(const Words& words);
+int RunHosted(const Words& words);
 int RunSettings(const Words& words);
 int RunSubmit(const Words& words);
 int RunStatus(const Words& words);
--- a/src/common.cc
+++ b/src/common.cc
@@ -1,7 +1,7 @@
 #include <arpa/inet.h>
 
 #include <charconv>
-#include <chrono>
+#include <ctime>
 
 #include "gentiandeal_p.h"
 
@@ -112,8 +112,9 @@
 }  // namespace
 
 Time MonotonicClock::Now() const {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return {std::chrono::duration_cast<std::chrono::milliseconds>(now).count()};
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return {static_cast<int64_t>(now.tv_sec) * 1000 + now.tv_nsec / 1000000};
 }
 
 const std::error_category& GentiandealCategory() {
--- a/src/config.h
+++ b/src/config.h
@@ -17,6 +17,10 @@
 inline constexpr uint32_t kMaxJobs = 8192;
 inline constexpr uint32_t kMaxKinds = 1024;
 inline constexpr uint32_t kMaxSlotsPerWorker = 64;
+/// Tasks in one message between instances about leased workers.
+inline constexpr uint32_t kMaxRoomTasks = 4096;
+/// Pools of leased workers in one report of an owner.
+inline constexpr uint32_t kMaxPools = 64;
 
 /// Largest request head and body taken from a caller, in bytes.
 inline constexpr size_t kMaxHeadBytes = 16 * 1024;
--- a/src/gentiandeal_p.h
+++ b/src/gentiandeal_p.h
@@ -27,7 +27,8 @@
   { clock.Now() } -> std::same_as<Time>;
 };
 
-/// Reads the kernel's monotonic clock.
+/// Reads the kernel's clock since boot. It never jumps, and counts the time in
+/// which the machine was suspended.
 struct MonotonicClock {
   Time Now() const;
 };
--- /dev/null
+++ b/src/hosted_status.cc
@@ -0,0 +1,86 @@
+#include "hosted_status.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace gentiandeal {
+namespace {
+
+using Families = std::vector<prometheus::MetricFamily>;
+
+void Add(Families* out, const char* name, double value, bool gauge = false) {
+  prometheus::MetricFamily& family = out->emplace_back();
+  family.name = std::string("gentiandeal_") + name + (gauge ? "" : "_total");
+  family.help = "See docs/OPERATIONS.md.";
+  family.type =
+      gauge ? prometheus::MetricType::Gauge : prometheus::MetricType::Counter;
+  prometheus::ClientMetric& metric = family.metric.emplace_back();
+  (gauge ? metric.gauge.value : metric.counter.value) = value;
+}
+
+/// Upper bounds in seconds: objectives lie between 0.1 and 2.
+const prometheus::Histogram::BucketBoundaries kJobBuckets = {
+    0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1, 1.5, 2.5, 5};
+
+}  // namespace
+
+HostedStatus::HostedStatus()
+    : job_seconds_(prometheus::BuildHistogram()
+                       .Name("gentiandeal_job_seconds")
+                       .Help("From acceptance to the answer, by outcome.")
+                       .Register(registry_)),
+      pauses_(prometheus::BuildCounter()
+                  .Name("gentiandeal_pauses_total")
+                  .Help("Times the process stood still.")
+                  .Register(registry_)
+                  .Add({})) {}
+
+void HostedStatus::JobEnded(std::string_view outcome, Duration age) {
+  job_seconds_.Add({{"outcome", std::string(outcome)}}, kJobBuckets)
+      .Observe(static_cast<double>(age.ms_) / 1000);
+}
+
+std::string HostedStatus::Text(const JobDeskStats& desk,
+                               const RunOwnerStats& owner,
+                               const MeshStats& mesh,
+                               const HostedGauges& gauges) const {
+  Families families = registry_.Collect();
+  const auto count = [&](const char* name, uint64_t value) {
+    Add(&families, name, static_cast<double>(value));
+  };
+  const auto gauge = [&](const char* name, size_t value) {
+    Add(&families, name, static_cast<double>(value), /*gauge=*/true);
+  };
+  count("room_jobs", desk.jobs_);
+  count("room_jobs_complete", desk.complete_);
+  count("room_jobs_failed", desk.failed_);
+  count("room_jobs_refused", desk.refused_);
+  count("room_jobs_interrupted", desk.interrupted_);
+  count("room_jobs_timed_out", desk.timed_out_);
+  count("room_callers_gone", desk.caller_gone_);
+  count("room_tasks_assigned", desk.tasks_assigned_);
+  count("room_tasks_moved", desk.tasks_moved_);
+  count("runs_started", owner.starts_);
+  count("starts_refused", owner.starts_refused_);
+  count("starts_unanswered", owner.starts_unanswered_);
+  count("runs_stopped", owner.stops_);
+  count("holds", owner.holds_);
+  count("holds_failed", owner.holds_failed_);
+  count("runs_done", owner.done_);
+  count("runs_failed", owner.failed_);
+  count("runs_lapsed", owner.lapsed_);
+  count("runs_stalled", owner.stalled_);
+  count("tasks_expired", owner.expired_);
+  count("tasks_withdrawn", owner.withdrawn_);
+  count("foreign_runs", owner.foreign_runs_);
+  count("workers_set_aside", owner.set_aside_);
+  count("links_opened", mesh.links_opened_);
+  count("links_lost", mesh.links_lost_);
+  count("link_bytes_sent", mesh.bytes_sent_);
+  gauge("open_jobs", gauges.open_jobs_);
+  gauge("owned_workers", gauges.owned_workers_);
+  gauge("reachable_owners", gauges.reachable_owners_);
+  gauge("draining", gauges.draining_ ? 1 : 0);
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace gentiandeal
--- a/src/main.cc
+++ b/src/main.cc
@@ -15,6 +15,7 @@
 
 constexpr Subcommand kSubcommands[] = {
     {"serve", "run an entry instance", &RunServe},
+    {"hosted", "run an instance on the users' platform", &RunHosted},
     {"settings", "check, show and change the shared settings", &RunSettings},
     {"submit", "submit a job and print its whole answer", &RunSubmit},
     {"status", "show what an entry instance sees", &RunStatus},
--- /dev/null
+++ b/src/mesh_link.cc
@@ -0,0 +1,246 @@
+#include "mesh_link.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <utility>
+
+#include "peer_wire.h"
+#include "socket_address.h"
+
+namespace gentiandeal {
+namespace {
+
+constexpr Duration kDialInterval{200};
+/// A peer that doesn't read so much has stalled.
+constexpr size_t kMaxUnsent = 4 * 1024 * 1024;
+
+}  // namespace
+
+MeshLink::MeshLink(event_base* base, MeshHello self, MeshEvents events)
+    : base_(base), self_(std::move(self)), events_(std::move(events)) {}
+
+MeshLink::~MeshLink() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+  for (auto& [key, link] : links_) bufferevent_free(link->socket_);
+}
+
+std::error_code MeshLink::Listen(const Address& address) {
+  SocketAddress to;
+  if (const auto error = ToSocketAddress(address, &to)) return error;
+  listener_ = evconnlistener_new_bind(
+      base_, &OnAccept, this,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, -1,
+      to.get(), static_cast<int>(to.size_));
+  if (listener_ == nullptr) return {errno, std::generic_category()};
+  return LocalAddress(evconnlistener_get_fd(listener_), &local_);
+}
+
+MeshLink::Link* MeshLink::Add(int fd, bool dialled) {
+  auto link = std::make_unique<Link>();
+  Link* raw = link.get();
+  raw->mesh_ = this;
+  raw->dialled_ = dialled;
+  raw->heard_ = raw->sent_ = clock_.Now();
+  raw->socket_ = bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(raw->socket_, &OnReadable, nullptr, &OnEvent, raw);
+  links_.emplace(raw, std::move(link));
+  return raw;
+}
+
+void MeshLink::OnAccept(evconnlistener* /*listener*/, int fd,
+                        sockaddr* /*from*/, int /*size*/, void* self) {
+  auto* mesh = static_cast<MeshLink*>(self);
+  Link* link = mesh->Add(fd, /*dialled=*/false);
+  SetLinkOptions(fd);
+  link->session_ = {++mesh->last_session_};
+  ++mesh->stats_.sessions_;
+  bufferevent_enable(link->socket_, EV_READ | EV_WRITE);
+}
+
+void MeshLink::Dial(const InstanceRecord& peer, Time now) {
+  dial_again_[peer.name_.value_] = now + kDialInterval;
+  SocketAddress to;
+  if (ToSocketAddress(peer.peers_, &to)) return;
+  Link* link = Add(-1, /*dialled=*/true);
+  link->peer_ = peer;
+  owners_[peer.name_.value_] = link;
+  // A failed connect is reported to `OnEvent`, at the latest by the silence.
+  if (bufferevent_socket_connect(link->socket_, to.get(),
+                                 static_cast<int>(to.size_)) != 0) {
+    return Drop(link);
+  }
+  bufferevent_enable(link->socket_, EV_READ | EV_WRITE);
+}
+
+void MeshLink::SetPeers(const std::vector<InstanceRecord>& peers) {
+  std::map<std::string, InstanceRecord> next;
+  for (const InstanceRecord& peer : peers) next[peer.name_.value_] = peer;
+  std::vector<Link*> stale;
+  for (const auto& [name, link] : owners_) {
+    const auto found = next.find(name);
+    if (found == next.end() ||
+        found->second.incarnation_ != link->peer_.incarnation_) {
+      stale.push_back(link);
+    }
+  }
+  peers_ = std::move(next);
+  for (Link* link : stale) {
+    dial_again_.erase(link->peer_.name_.value_);
+    Drop(link);
+  }
+}
+
+void MeshLink::Write(Link* link, const std::string& bytes) {
+  link->sent_ = clock_.Now();
+  stats_.bytes_sent_ += bytes.size();
+  bufferevent_write(link->socket_, bytes.data(), bytes.size());
+}
+
+bool MeshLink::Send(const InstanceName& owner, const MeshFrame& frame) {
+  const auto found = owners_.find(owner.value_);
+  if (found == owners_.end() || !found->second->greeted_) return false;
+  Write(found->second, EncodeMesh(frame));
+  return true;
+}
+
+void MeshLink::SendEnded(SessionId session, const TaskEnded& ended) {
+  for (auto& [key, link] : links_) {
+    if (link->dialled_ || link->session_ != session) continue;
+    Write(link.get(), EncodeMesh(MeshEnded{{ended}}));
+    return;
+  }
+}
+
+void MeshLink::SendLoad(const OwnerLoad& load) {
+  load_ = load;
+  const std::string bytes = EncodeMesh(load);
+  for (auto& [key, link] : links_) {
+    if (!link->dialled_ && link->greeted_) Write(link.get(), bytes);
+  }
+}
+
+void MeshLink::Drop(Link* link) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) return;
+  const std::unique_ptr<Link> owned = std::move(found->second);
+  links_.erase(found);
+  bufferevent_free(owned->socket_);
+  if (!owned->dialled_) {
+    if (owned->greeted_) events_.session_ended_(owned->session_);
+    return;
+  }
+  const auto current = owners_.find(owned->peer_.name_.value_);
+  if (current != owners_.end() && current->second == link) {
+    owners_.erase(current);
+  }
+  if (!owned->greeted_) return;
+  ++stats_.links_lost_;
+  events_.owner_lost_(owned->peer_.name_);
+}
+
+void MeshLink::OnEvent(bufferevent* socket, short what, void* arg) {
+  auto* link = static_cast<Link*>(arg);
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    SetLinkOptions(bufferevent_getfd(socket));
+    link->mesh_->Write(link, EncodeMesh(link->mesh_->self_));
+    return;
+  }
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
+    link->mesh_->Drop(link);
+  }
+}
+
+void MeshLink::OnReadable(bufferevent* /*socket*/, void* arg) {
+  auto* link = static_cast<Link*>(arg);
+  link->mesh_->Read(link);
+}
+
+void MeshLink::Read(Link* link) {
+  evbuffer* input = bufferevent_get_input(link->socket_);
+  link->heard_ = clock_.Now();
+  while (evbuffer_get_length(input) >= kFrameLengthBytes) {
+    char head[kFrameLengthBytes];
+    evbuffer_copyout(input, head, kFrameLengthBytes);
+    size_t size = 0;
+    if (!DecodeFrameLength({head, kFrameLengthBytes}, &size)) {
+      ++stats_.frames_malformed_;
+      return Drop(link);
+    }
+    if (evbuffer_get_length(input) < kFrameLengthBytes + size) return;
+    evbuffer_drain(input, kFrameLengthBytes);
+    std::string bytes(size, '\0');
+    evbuffer_remove(input, bytes.data(), size);
+    MeshFrame frame;
+    if (!DecodeMesh(bytes, &frame) || !Handle(link, frame)) {
+      ++stats_.frames_malformed_;
+      return Drop(link);
+    }
+    if (links_.count(link) == 0) return;
+  }
+}
+
+// Returns false for a frame that has no place on this link.
+bool MeshLink::Handle(Link* link, const MeshFrame& frame) {
+  if (const auto* hello = std::get_if<MeshHello>(&frame)) {
+    link->hello_ = *hello;
+    if (!link->dialled_) {
+      link->greeted_ = true;
+      Write(link, EncodeMesh(self_));
+      Write(link, EncodeMesh(load_));
+      return true;
+    }
+    if (hello->incarnation_ != link->peer_.incarnation_) return false;
+    link->greeted_ = true;
+    ++stats_.links_opened_;
+    return true;
+  }
+  if (!link->greeted_) return false;
+  if (std::holds_alternative<MeshPing>(frame)) return true;
+  if (link->dialled_) {
+    if (const auto* load = std::get_if<OwnerLoad>(&frame)) {
+      events_.load_(link->peer_.name_, link->hello_.data_centre_, *load);
+      return true;
+    }
+    const auto* ended = std::get_if<MeshEnded>(&frame);
+    if (ended == nullptr) return false;
+    for (const TaskEnded& one : ended->ended_) {
+      events_.ended_(link->peer_.name_, one);
+    }
+    return true;
+  }
+  if (const auto* assign = std::get_if<AssignTasks>(&frame)) {
+    events_.assign_(link->session_, *assign);
+    return true;
+  }
+  const auto* withdraw = std::get_if<WithdrawTasks>(&frame);
+  if (withdraw == nullptr) return false;
+  events_.withdraw_(link->session_, *withdraw);
+  return true;
+}
+
+void MeshLink::Tick(Time now) {
+  std::vector<Link*> silent;
+  for (auto& [key, link] : links_) {
+    const size_t unsent =
+        evbuffer_get_length(bufferevent_get_output(link->socket_));
+    if (now - link->heard_ > kSilence || unsent > kMaxUnsent) {
+      silent.push_back(link.get());
+    } else if (link->greeted_ && now - link->sent_ >= kBeat) {
+      Write(link.get(), EncodeMesh(MeshPing{}));
+    }
+  }
+  for (Link* link : silent) Drop(link);
+  for (const auto& [name, peer] : peers_) {
+    if (owners_.count(name) == 0 && now >= dial_again_[name]) Dial(peer, now);
+  }
+}
+
+void MeshLink::DropAll() {
+  std::vector<Link*> all;
+  for (auto& [key, link] : links_) all.push_back(link.get());
+  for (Link* link : all) Drop(link);
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/mesh_wire.cc
@@ -0,0 +1,155 @@
+#include "mesh_wire.h"
+
+#include "peer_wire.h"
+#include "wire_archive.h"
+
+namespace gentiandeal {
+
+// Found by the lists in wire_archive.h, so not in an unnamed namespace.
+
+template <typename A, typename Tag>
+void Fields(A& archive, TextId<Tag>& id) {
+  archive.Text(id.value_);
+}
+
+template <typename A>
+void Fields(A& archive, std::string& text) {
+  archive.Text(text);
+}
+
+template <typename A>
+void Fields(A& archive, Room& room) {
+  archive.Value(room.cpu_milli_);
+  archive.Value(room.memory_mb_);
+  archive.Value(room.gpu_);
+}
+
+template <typename A>
+void Fields(A& archive, AssignedTask& task) {
+  Fields(archive, task.serial_);
+  archive.Value(task.index_);
+}
+
+template <typename A>
+void Fields(A& archive, FreeRoom& free) {
+  archive.Value(free.pool_);
+  Fields(archive, free.room_);
+}
+
+template <typename A>
+void Fields(A& archive, TaskEnded& ended) {
+  Fields(archive, ended.serial_);
+  auto end = static_cast<uint8_t>(ended.end_);
+  archive.Value(end);
+  if constexpr (A::kReads) {
+    if (end > static_cast<uint8_t>(TaskEnd::kRefused)) archive.Fail();
+    ended.end_ = static_cast<TaskEnd>(end);
+  }
+  Fields(archive, ended.started_);
+}
+
+template <typename A>
+void Fields(A& archive, MeshHello& hello) {
+  Fields(archive, hello.name_);
+  archive.Text(hello.data_centre_);
+  Fields(archive, hello.incarnation_);
+}
+
+template <typename A>
+void Fields(A& archive, AssignTasks& assign) {
+  archive.Text(assign.name_);
+  archive.Text(assign.pool_);
+  archive.Text(assign.label_);
+  archive.Text(assign.payload_);
+  Fields(archive, assign.need_);
+  Fields(archive, assign.expected_);
+  Fields(archive, assign.start_within_);
+  Fields(archive, assign.give_up_);
+  List(archive, assign.tasks_, config::kMaxRoomTasks, uint32_t{0});
+}
+
+template <typename A>
+void Fields(A& archive, WithdrawTasks& withdraw) {
+  List(archive, withdraw.tasks_, config::kMaxRoomTasks, uint32_t{0});
+}
+
+template <typename A>
+void Fields(A& archive, MeshEnded& ended) {
+  List(archive, ended.ended_, config::kMaxRoomTasks, uint32_t{0});
+}
+
+template <typename A>
+void Fields(A& archive, OwnerLoad& load) {
+  Fields(archive, load.draining_);
+  List(archive, load.pools_, config::kMaxPools, uint8_t{0});
+  List(archive, load.free_, config::kMaxWorkers, uint16_t{0});
+  archive.Value(load.capacity_cpu_milli_);
+  archive.Value(load.queued_core_ms_);
+  archive.Value(load.queued_tasks_);
+  if constexpr (A::kReads) {
+    for (const FreeRoom& free : load.free_) {
+      if (free.pool_ >= load.pools_.size()) archive.Fail();
+    }
+  }
+}
+
+template <typename A>
+void Fields(A& /*archive*/, MeshPing& /*ping*/) {}
+
+namespace {
+
+/// First byte of every frame; changes with the format.
+constexpr uint8_t kMeshFormat = 0xe1;
+
+template <size_t kIndex = 0>
+bool ReadKind(WireReader& reader, uint8_t kind, MeshFrame* out) {
+  if constexpr (kIndex < std::variant_size_v<MeshFrame>) {
+    if (kind != kIndex) return ReadKind<kIndex + 1>(reader, kind, out);
+    std::variant_alternative_t<kIndex, MeshFrame> frame;
+    Fields(reader, frame);
+    if (reader.failed() || reader.left() != 0) return false;
+    *out = std::move(frame);
+    return true;
+  } else {
+    return false;
+  }
+}
+
+}  // namespace
+
+std::string EncodeMesh(const MeshFrame& frame) {
+  std::string bytes(kFrameLengthBytes, '\0');
+  {
+    WireWriter writer(&bytes);
+    writer.Value(kMeshFormat);
+    writer.Value(static_cast<uint8_t>(frame.index()));
+    std::visit(
+        [&](const auto& one) {
+          using One = std::decay_t<decltype(one)>;
+          // One function serves both directions; writing changes nothing.
+          Fields(writer, const_cast<One&>(one));
+        },
+        frame);
+  }
+  const size_t size = bytes.size() - kFrameLengthBytes;
+  for (size_t i = 0; i < kFrameLengthBytes; ++i) {
+    bytes[i] = static_cast<char>(size >> (8 * (kFrameLengthBytes - 1 - i)));
+  }
+  return bytes;
+}
+
+bool DecodeMesh(std::string_view bytes, MeshFrame* out) {
+  try {
+    WireReader reader(bytes);
+    uint8_t format = 0;
+    uint8_t kind = 0;
+    reader.Value(format);
+    reader.Value(kind);
+    if (reader.failed() || format != kMeshFormat) return false;
+    return ReadKind(reader, kind, out);
+  } catch (const cereal::Exception&) {
+    return false;
+  }
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/run_owner.cc
@@ -0,0 +1,684 @@
+#include "run_owner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace gentiandeal {
+namespace {
+
+/// How much longer than asked a lease may last: a worker's clock may be 2 %
+/// slow, and its answer to a lapse takes a moment.
+constexpr Duration kLeaseSlack{60};
+/// Wait after a failed hold; doubles up to the limit.
+constexpr Duration kHoldBackoff{40};
+constexpr Duration kMaxHoldBackoff{320};
+/// Pause between two stops of one run.
+constexpr Duration kStopInterval{120};
+/// A run that takes longer than its expected time by this factor, and this
+/// much, is looked at out of turn.
+constexpr double kOverdueFactor = 1.7;
+constexpr Duration kOverdueSlack{40};
+constexpr Duration kLookInterval{90};
+/// A run is moved when it needs this many expected run times more: a restart
+/// costs one, and estimates are off by up to one.
+constexpr double kMoveFactor = 2.0;
+constexpr Duration kMoveSlack{60};
+/// Progress below this share says nothing about the speed yet.
+constexpr Duration kMinProgressAge{100};
+/// Failures in a row, of different tasks, before a worker is set aside.
+constexpr uint32_t kFailuresToSetAside = 2;
+constexpr Duration kSetAside{1500};
+constexpr uint32_t kMaxSetAsideDoublings = 2;
+constexpr double kSlownessWeight = 0.15;  // of the newest run
+/// Waiting tasks that one owner keeps; more are refused.
+constexpr size_t kMaxWaiting = 4096;
+
+std::string RunKey(const std::string& task, uint32_t run) {
+  return task + "#" + std::to_string(run);
+}
+
+}  // namespace
+
+RunOwner::Worker* RunOwner::Find(const std::string& id) {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+WorkerCallId RunOwner::NewCall(CallKind kind, const Worker& worker,
+                               uint64_t run) {
+  const WorkerCallId id{++last_call_};
+  calls_[id.value_] = {kind, worker.info_->id_.value_, run};
+  return id;
+}
+
+bool RunOwner::TakeCall(WorkerCallId id, Call* out) {
+  const auto found = calls_.find(id.value_);
+  if (found == calls_.end()) return false;
+  *out = std::move(found->second);
+  calls_.erase(found);
+  return true;
+}
+
+// The clock was read when the answer arrived, so the worker's clock is ahead
+// of this by the way of the answer: a lease ends early, never late.
+int64_t RunOwner::LeaseEnd(const Worker& worker, Time now) const {
+  return worker.clock_ms_ + (now - worker.clock_read_).ms_ + limits_.lease_.ms_;
+}
+
+bool RunOwner::Usable(const Worker& worker, Time now) const {
+  return worker.confirmed_ && !worker.retiring_ && !worker.info_->leaving_ &&
+         worker.hold_failures_ == 0 && now >= worker.aside_until_;
+}
+
+void RunOwner::Own(const LeasedWorker& worker, Fence fence, Time now,
+                   OwnerOutbox* out) {
+  Worker& owned = workers_[worker.id_.value_];
+  if (owned.info_ == nullptr) {
+    owned.info_ = std::make_shared<const LeasedWorker>(worker);
+    owned.free_ = worker.capacity_;
+  }
+  owned.fence_ = fence;
+  owned.confirmed_ = false;
+  owned.retiring_ = false;
+  SendHold(&owned, /*renew=*/true, now, out);
+  ++load_version_;
+}
+
+void RunOwner::Update(const LeasedWorker& worker, Time now, OwnerOutbox* out) {
+  Worker* owned = Find(worker.id_.value_);
+  if (owned == nullptr || *owned->info_ == worker) return;
+  const LeasedWorkerRef before = owned->info_;
+  owned->info_ = std::make_shared<const LeasedWorker>(worker);
+  const bool reborn = before->born_ms_ != worker.born_ms_ &&
+                      before->born_ms_ != 0 && worker.born_ms_ != 0;
+  if (reborn) {
+    DropRuns(owned, /*provably_over=*/true, now, out);
+    owned->last_seen_ = 0;
+    owned->clock_known_ = false;
+    owned->failures_ = owned->set_asides_ = 0;
+    owned->slowness_ = 1;
+  } else {
+    owned->free_ += worker.capacity_;
+    owned->free_ -= before->capacity_;
+  }
+  ++load_version_;
+  StartWaiting(now, out);
+}
+
+void RunOwner::Retire(const WorkerId& worker) {
+  Worker* owned = Find(worker.value_);
+  if (owned == nullptr || owned->retiring_) return;
+  owned->retiring_ = true;
+  ++load_version_;
+}
+
+bool RunOwner::Idle(const WorkerId& worker) const {
+  const auto found = workers_.find(worker.value_);
+  return found == workers_.end() || found->second.runs_.empty();
+}
+
+void RunOwner::Disown(const WorkerId& worker, Time now, OwnerOutbox* out) {
+  Worker* owned = Find(worker.value_);
+  if (owned == nullptr) return;
+  DropRuns(owned, now > owned->lease_until_ + kLeaseSlack, now, out);
+  workers_.erase(worker.value_);
+  ++load_version_;
+}
+
+void RunOwner::Drain(OwnerOutbox* out) {
+  draining_ = true;
+  for (const Task& task : queue_) Report(task, TaskEnd::kRefused, out);
+  queue_.clear();
+  ++load_version_;
+}
+
+bool RunOwner::idle() const {
+  if (!queue_.empty()) return false;
+  return std::all_of(workers_.begin(), workers_.end(), [](const auto& entry) {
+    return entry.second.runs_.empty();
+  });
+}
+
+void RunOwner::On(SessionId session, const AssignTasks& assign, Time now,
+                  OwnerOutbox* out) {
+  const auto order = std::make_shared<const AssignTasks>(assign);
+  const auto payload = std::make_shared<const std::string>(order->payload_);
+  for (const AssignedTask& assigned : order->tasks_) {
+    Task task;
+    task.session_ = session;
+    task.serial_ = assigned.serial_;
+    task.name_ = order->name_ + "." + std::to_string(assigned.index_);
+    task.order_ = order;
+    task.payload_ = payload;
+    task.start_by_ = now + order->start_within_;
+    task.give_up_ = now + order->give_up_;
+    if (draining_ || queue_.size() >= kMaxWaiting) {
+      Report(task, TaskEnd::kRefused, out);
+      continue;
+    }
+    Enqueue(std::move(task));
+  }
+  StartWaiting(now, out);
+}
+
+void RunOwner::On(SessionId session, const WithdrawTasks& withdraw, Time now,
+                  OwnerOutbox* out) {
+  const auto wanted = [&](const Task& task) {
+    return task.session_ == session &&
+           std::find(withdraw.tasks_.begin(), withdraw.tasks_.end(),
+                     task.serial_) != withdraw.tasks_.end();
+  };
+  stats_.withdrawn_ += withdraw.tasks_.size();
+  const auto dropped =
+      std::stable_partition(queue_.begin(), queue_.end(),
+                            [&](const Task& task) { return !wanted(task); });
+  for (auto task = dropped; task != queue_.end(); ++task) {
+    Report(*task, TaskEnd::kWithdrawn, out);
+  }
+  queue_.erase(dropped, queue_.end());
+  for (auto& [id, worker] : workers_) {
+    for (Run& run : worker.runs_) {
+      if (!run.task_ || !wanted(*run.task_)) continue;
+      run.task_->started_ = true;
+      Report(*run.task_, TaskEnd::kWithdrawn, out);
+      run.task_.reset();
+      BeginStop(&worker, &run, now, out);
+    }
+  }
+  ++load_version_;
+}
+
+void RunOwner::EndSession(SessionId session, Time now, OwnerOutbox* out) {
+  WithdrawTasks all;
+  for (const Task& task : queue_) {
+    if (task.session_ == session) all.tasks_.push_back(task.serial_);
+  }
+  for (const auto& [id, worker] : workers_) {
+    for (const Run& run : worker.runs_) {
+      if (run.task_ && run.task_->session_ == session) {
+        all.tasks_.push_back(run.task_->serial_);
+      }
+    }
+  }
+  if (!all.tasks_.empty()) On(session, all, now, out);
+}
+
+void RunOwner::Enqueue(Task task) {
+  const auto place = std::upper_bound(
+      queue_.begin(), queue_.end(), task.start_by_,
+      [](Time time, const Task& other) { return time < other.start_by_; });
+  queue_.insert(place, std::move(task));
+  ++load_version_;
+}
+
+void RunOwner::Requeue(Task task, const Worker& worker, Time now,
+                       OwnerOutbox* out) {
+  if (now >= task.give_up_) return Report(task, TaskEnd::kExpired, out);
+  if (draining_) return Report(task, TaskEnd::kLost, out);
+  task.avoid_ = worker.info_->id_.value_;
+  Enqueue(std::move(task));
+}
+
+void RunOwner::Report(const Task& task, TaskEnd end, OwnerOutbox* out) {
+  out->push_back(ReportTask{task.session_, {task.serial_, end, task.started_}});
+}
+
+RunOwner::Worker* RunOwner::PickWorker(const Task& task, Time now) {
+  Worker* best = nullptr;
+  double best_score = 0;
+  const AssignTasks& order = *task.order_;
+  for (auto& [id, worker] : workers_) {
+    if (!Usable(worker, now) || !Fits(order.need_, worker.free_)) continue;
+    if (worker.info_->pool_ != order.pool_) continue;
+    if (!HasLabel(*worker.info_, order.label_)) continue;
+    // The tightest fit leaves the larger rests for larger tasks.
+    const double rest = worker.free_.cpu_milli_ - order.need_.cpu_milli_;
+    double score = rest / std::max(1, order.need_.cpu_milli_);
+    score += worker.slowness_;
+    if (id == task.avoid_) score += kMoveFactor;
+    if (best == nullptr || score < best_score) {
+      best = &worker;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void RunOwner::StartWaiting(Time now, OwnerOutbox* out) {
+  std::vector<Task> left;
+  std::vector<Task> waiting;
+  waiting.swap(queue_);
+  // Tasks that look alike fail to fit alike.
+  const AssignTasks* last_misfit = nullptr;
+  for (Task& task : waiting) {
+    if (now >= task.give_up_) {
+      ++stats_.expired_;
+      Report(task, TaskEnd::kExpired, out);
+      continue;
+    }
+    Worker* worker =
+        task.order_.get() == last_misfit ? nullptr : PickWorker(task, now);
+    if (worker == nullptr) {
+      last_misfit = task.order_.get();
+      left.push_back(std::move(task));
+      continue;
+    }
+    Start(worker, std::move(task), now, out);
+  }
+  queue_ = std::move(left);
+  ++load_version_;
+}
+
+void RunOwner::Start(Worker* worker, Task task, Time now, OwnerOutbox* out) {
+  Run& run = worker->runs_.emplace_back();
+  run.key_ = ++last_run_;
+  run.name_ = task.name_;
+  run.number_ = ++task.runs_;
+  run.need_ = task.order_->need_;
+  run.sent_at_ = now;
+  run.late_after_ms_ = LeaseEnd(*worker, now);
+  worker->free_ -= run.need_;
+  worker->lease_until_ = std::max(worker->lease_until_, now + limits_.lease_);
+  ++stats_.starts_;
+  StartRun start;
+  start.call_ = NewCall(CallKind::kStart, *worker, run.key_);
+  start.worker_ = worker->info_;
+  start.task_ = run.name_;
+  start.run_ = run.number_;
+  start.payload_ = task.payload_;
+  start.fence_ = worker->fence_;
+  start.lease_until_ms_ = run.late_after_ms_;
+  run.task_ = std::move(task);
+  out->emplace_back(std::move(start));
+}
+
+void RunOwner::SendHold(Worker* worker, bool renew, Time now,
+                        OwnerOutbox* out) {
+  bool& open = renew ? worker->renew_open_ : worker->hold_open_;
+  if (open) return;
+  open = true;
+  ++stats_.holds_;
+  HoldWorker hold;
+  hold.call_ = NewCall(renew ? CallKind::kRenew : CallKind::kHold, *worker, 0);
+  hold.worker_ = worker->info_;
+  hold.fence_ = worker->fence_;
+  hold.last_seen_ = worker->last_seen_;
+  // Foreign runs found at a takeover are not kept alive.
+  if (worker->clock_known_ && worker->confirmed_) {
+    hold.lease_until_ms_ = LeaseEnd(*worker, now);
+    worker->lease_until_ = std::max(worker->lease_until_, now + limits_.lease_);
+  }
+  hold.wait_ = renew ? Duration{0} : limits_.hold_wait_;
+  out->emplace_back(std::move(hold));
+}
+
+void RunOwner::BeginStop(Worker* worker, Run* run, Time now, OwnerOutbox* out) {
+  if (run->state_ == RunState::kStopping) return;
+  run->state_ = RunState::kStopping;
+  SendStop(worker, run, now, out);
+}
+
+void RunOwner::SendStop(Worker* worker, Run* run, Time now, OwnerOutbox* out) {
+  run->stop_open_ = true;
+  run->stop_at_ = now + kStopInterval;
+  ++stats_.stops_;
+  StopRun stop;
+  stop.call_ = NewCall(CallKind::kStop, *worker, run->key_);
+  stop.worker_ = worker->info_;
+  stop.task_ = run->name_;
+  stop.run_ = run->number_;
+  stop.fence_ = worker->fence_;
+  out->emplace_back(std::move(stop));
+}
+
+void RunOwner::RemoveRun(Worker* worker, uint64_t key) {
+  const auto found =
+      std::find_if(worker->runs_.begin(), worker->runs_.end(),
+                   [&](const Run& run) { return run.key_ == key; });
+  if (found == worker->runs_.end()) return;
+  worker->free_ += found->need_;
+  worker->runs_.erase(found);
+  ++load_version_;
+}
+
+void RunOwner::SetAside(Worker* worker, Time now) {
+  const uint32_t doublings =
+      std::min(worker->set_asides_++, kMaxSetAsideDoublings);
+  worker->aside_until_ = now + Duration{kSetAside.ms_ << doublings};
+  ++stats_.set_aside_;
+  ++load_version_;
+}
+
+void RunOwner::On(const StartEnded& ended, Time now, OwnerOutbox* out) {
+  Call call;
+  if (!TakeCall(ended.call_, &call)) return;
+  Worker* worker = Find(call.worker_);
+  if (worker == nullptr) return;
+  if (ended.result_ == StartResult::kStaleFence) {
+    return Lose(call.worker_, "stale-fence", now, out);
+  }
+  const auto found =
+      std::find_if(worker->runs_.begin(), worker->runs_.end(),
+                   [&](const Run& run) { return run.key_ == call.run_; });
+  if (found == worker->runs_.end()) return;
+  Run& run = *found;
+  if (ended.clock_ms_ && !worker->clock_known_) {
+    worker->clock_ms_ = *ended.clock_ms_;
+    worker->clock_read_ = now;
+  }
+  if (ended.result_ == StartResult::kStarted) {
+    run.answered_ = true;
+    run.settled_ = last_call_;
+    if (run.task_) run.task_->started_ = true;
+    if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
+    return;
+  }
+  if (ended.result_ == StartResult::kUnanswered) {
+    ++stats_.starts_unanswered_;
+    if (run.task_) run.task_->started_ = true;
+    BeginStop(worker, &run, now, out);
+    SendHold(worker, /*renew=*/true, now, out);
+    return;
+  }
+  // The worker said that nothing began.
+  ++stats_.starts_refused_;
+  std::optional<Task> task = std::move(run.task_);
+  RemoveRun(worker, call.run_);
+  if (ended.result_ == StartResult::kUnavailable &&
+      ++worker->failures_ >= kFailuresToSetAside) {
+    SetAside(worker, now);
+  }
+  if (ended.result_ == StartResult::kOtherLife) worker->confirmed_ = false;
+  if (task) {
+    if (ended.result_ == StartResult::kRejected) {
+      Report(*task, TaskEnd::kFailed, out);
+    } else {
+      Requeue(std::move(*task), *worker, now, out);
+    }
+  }
+  SendHold(worker, /*renew=*/true, now, out);
+  StartWaiting(now, out);
+}
+
+void RunOwner::On(const StopEnded& ended, Time now, OwnerOutbox* out) {
+  Call call;
+  if (!TakeCall(ended.call_, &call)) return;
+  Worker* worker = Find(call.worker_);
+  if (worker == nullptr) return;
+  for (Run& run : worker->runs_) {
+    if (run.key_ != call.run_) continue;
+    run.stop_open_ = false;
+    if (!ended.answered_) return;
+    run.stop_answered_ = true;
+    run.settled_ = last_call_;
+    // Shows the end, or that the run never was there.
+    SendHold(worker, /*renew=*/true, now, out);
+    return;
+  }
+}
+
+void RunOwner::On(const HoldEnded& ended, Time now, OwnerOutbox* out) {
+  Call call;
+  if (!TakeCall(ended.call_, &call)) return;
+  Worker* worker = Find(call.worker_);
+  if (worker == nullptr) return;
+  (call.kind_ == CallKind::kRenew ? worker->renew_open_ : worker->hold_open_) =
+      false;
+  if (ended.result_ == HoldResult::kStaleFence) {
+    return Lose(call.worker_, "stale-fence", now, out);
+  }
+  if (ended.result_ != HoldResult::kListed) {
+    ++stats_.holds_failed_;
+    const uint32_t doublings = std::min<uint32_t>(worker->hold_failures_++, 3);
+    worker->hold_again_ =
+        now +
+        std::min(Duration{kHoldBackoff.ms_ << doublings}, kMaxHoldBackoff);
+    ++load_version_;
+    return;
+  }
+  if (worker->info_->born_ms_ != 0 && ended.born_ms_ != 0 &&
+      worker->info_->born_ms_ != ended.born_ms_) {
+    LeasedWorker reborn = *worker->info_;
+    reborn.born_ms_ = ended.born_ms_;
+    Update(reborn, now, out);
+    worker->confirmed_ = false;
+  }
+  const bool was_usable = Usable(*worker, now);
+  worker->hold_failures_ = 0;
+  // Answers on two connections may overtake each other.
+  const bool newest =
+      !worker->clock_known_ || ended.clock_ms_ >= worker->clock_ms_;
+  if (newest) {
+    worker->clock_ms_ = ended.clock_ms_;
+    worker->clock_read_ = now;
+    worker->clock_known_ = true;
+    worker->looked_at_ = now;
+  }
+  ReadFinished(worker, ended, now, out);
+  if (newest) {
+    ReadRunning(worker, ended, /*conclusive=*/true, now, out);
+    worker->confirmed_ = true;
+  }
+  if (!worker->hold_open_) SendHold(worker, /*renew=*/false, now, out);
+  if (!was_usable || !ended.finished_.empty()) StartWaiting(now, out);
+}
+
+void RunOwner::ReadFinished(Worker* worker, const HoldEnded& ended, Time now,
+                            OwnerOutbox* out) {
+  uint64_t seen = worker->last_seen_;
+  for (const FinishedRun& finished : ended.finished_) {
+    if (finished.number_ <= worker->last_seen_) continue;
+    seen = std::max(seen, finished.number_);
+    const auto found = std::find_if(
+        worker->runs_.begin(), worker->runs_.end(), [&](const Run& run) {
+          return run.number_ == finished.run_ && run.name_ == finished.task_;
+        });
+    if (found == worker->runs_.end()) continue;
+    const Run run = std::move(*found);
+    worker->free_ += run.need_;
+    worker->runs_.erase(found);
+    ++load_version_;
+    EndRun(worker, run, finished.end_, now, out);
+  }
+  worker->last_seen_ = seen;
+}
+
+void RunOwner::EndRun(Worker* worker, const Run& run, RunEnd end, Time now,
+                      OwnerOutbox* out) {
+  if (end == RunEnd::kDone) {
+    ++stats_.done_;
+    worker->failures_ = worker->set_asides_ = 0;
+    if (run.task_) {
+      const double took = static_cast<double>((now - run.sent_at_).ms_);
+      const double expected =
+          std::max(1.0, static_cast<double>(run.task_->order_->expected_.ms_));
+      worker->slowness_ += kSlownessWeight *
+                           (std::min(took / expected, 8.0) - worker->slowness_);
+    }
+  } else if (end == RunEnd::kFailed) {
+    ++stats_.failed_;
+    if (++worker->failures_ >= kFailuresToSetAside) SetAside(worker, now);
+  } else if (end == RunEnd::kLapsed) {
+    ++stats_.lapsed_;
+  }
+  if (!run.task_) return;
+  Task task = *run.task_;
+  task.started_ = true;
+  if (end == RunEnd::kDone) return Report(task, TaskEnd::kDone, out);
+  if (end == RunEnd::kFailed) return Report(task, TaskEnd::kFailed, out);
+  Requeue(std::move(task), *worker, now, out);
+}
+
+void RunOwner::ReadRunning(Worker* worker, const HoldEnded& ended,
+                           bool conclusive, Time now, OwnerOutbox* out) {
+  std::unordered_map<std::string, double> listed;
+  for (const RunningRun& running : ended.running_) {
+    listed.emplace(RunKey(running.task_, running.run_), running.percent_);
+  }
+  std::vector<uint64_t> gone;
+  for (Run& run : worker->runs_) {
+    const auto found = listed.find(RunKey(run.name_, run.number_));
+    if (found != listed.end()) {
+      if (!run.answered_) run.settled_ = last_call_;
+      run.answered_ = true;
+      if (run.task_) run.task_->started_ = true;
+      if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
+      CheckProgress(worker, &run, found->second, now, out);
+      listed.erase(found);
+      continue;
+    }
+    const bool settled = run.settled_ != 0 && ended.call_.value_ > run.settled_;
+    const bool too_late = !run.answered_ && run.late_after_ms_ != 0 &&
+                          ended.clock_ms_ > run.late_after_ms_ &&
+                          run.state_ == RunState::kStopping;
+    if (conclusive && (settled || too_late)) gone.push_back(run.key_);
+  }
+  for (const uint64_t key : gone) {
+    const auto found =
+        std::find_if(worker->runs_.begin(), worker->runs_.end(),
+                     [&](const Run& run) { return run.key_ == key; });
+    std::optional<Task> task = std::move(found->task_);
+    RemoveRun(worker, key);
+    if (task) Requeue(std::move(*task), *worker, now, out);
+  }
+  // What is left was started by an owner before, or before a pause. Its size
+  // isn't known: nothing fits beside it until it is over.
+  for (const RunningRun& running : ended.running_) {
+    if (listed.count(RunKey(running.task_, running.run_)) == 0) continue;
+    ++stats_.foreign_runs_;
+    Run& run = worker->runs_.emplace_back();
+    run.key_ = ++last_run_;
+    run.name_ = running.task_;
+    run.number_ = running.run_;
+    run.need_ = worker->free_;
+    run.answered_ = true;
+    worker->free_ = Room{};
+    BeginStop(worker, &run, now, out);
+  }
+}
+
+void RunOwner::CheckProgress(Worker* worker, Run* run, double percent, Time now,
+                             OwnerOutbox* out) {
+  if (run->state_ != RunState::kRunning || !run->task_) return;
+  const double elapsed = static_cast<double>((now - run->sent_at_).ms_);
+  const double expected =
+      static_cast<double>(run->task_->order_->expected_.ms_);
+  if (elapsed < kMinProgressAge.ms_ ||
+      elapsed < kOverdueFactor * expected / 2) {
+    return;
+  }
+  const double left = elapsed * (100 - percent) / std::max(percent, 0.5);
+  if (left < kMoveFactor * expected + kMoveSlack.ms_) return;
+  if (now >= run->task_->give_up_) return;
+  ++stats_.stalled_;
+  if (now >= worker->aside_until_) SetAside(worker, now);
+  BeginStop(worker, run, now, out);
+}
+
+void RunOwner::DropRuns(Worker* worker, bool provably_over, Time now,
+                        OwnerOutbox* out) {
+  std::vector<Run> runs;
+  runs.swap(worker->runs_);
+  worker->free_ = worker->info_->capacity_;
+  for (Run& run : runs) {
+    if (!run.task_) continue;
+    if (provably_over) {
+      Requeue(std::move(*run.task_), *worker, now, out);
+    } else {
+      Report(*run.task_, TaskEnd::kUnknown, out);
+    }
+  }
+  ++load_version_;
+}
+
+void RunOwner::Lose(const std::string& id, std::string_view reason, Time now,
+                    OwnerOutbox* out) {
+  out->push_back(WorkerLost{{id}, reason});
+  Disown({id}, now, out);
+}
+
+void RunOwner::Tick(Time now, OwnerOutbox* out) {
+  for (auto& [id, worker] : workers_) {
+    const bool had_runs = !worker.runs_.empty();
+    if (worker.hold_failures_ > 0 && had_runs &&
+        now > worker.lease_until_ + kLeaseSlack) {
+      worker.confirmed_ = false;
+      DropRuns(&worker, /*provably_over=*/true, now, out);
+    }
+    if (now >= worker.hold_again_) {
+      if (worker.hold_failures_ > 0 || !worker.confirmed_) {
+        SendHold(&worker, /*renew=*/true, now, out);
+      } else if (!worker.hold_open_) {
+        SendHold(&worker, /*renew=*/false, now, out);
+      }
+    }
+    bool look = had_runs && worker.lease_until_ - now < limits_.renew_below_;
+    for (Run& run : worker.runs_) {
+      if (run.state_ == RunState::kStopping && !run.stop_open_ &&
+          now >= run.stop_at_) {
+        if (run.stop_answered_) {
+          look = true;
+          run.stop_at_ = now + kStopInterval;
+        } else {
+          SendStop(&worker, &run, now, out);
+        }
+      }
+      if (run.state_ != RunState::kRunning || !run.task_) continue;
+      const auto overdue =
+          static_cast<int64_t>(
+              kOverdueFactor *
+              static_cast<double>(run.task_->order_->expected_.ms_)) +
+          kOverdueSlack.ms_;
+      look = look || ((now - run.sent_at_).ms_ > overdue &&
+                      now - worker.looked_at_ > kLookInterval);
+    }
+    if (look && now >= worker.hold_again_) {
+      SendHold(&worker, /*renew=*/true, now, out);
+    }
+  }
+  if (!queue_.empty()) StartWaiting(now, out);
+}
+
+void RunOwner::Resume(Time now, OwnerOutbox* out) {
+  std::vector<Task> waiting;
+  waiting.swap(queue_);
+  for (const Task& task : waiting) Report(task, TaskEnd::kUnknown, out);
+  for (auto& [id, worker] : workers_) {
+    worker.confirmed_ = false;
+    for (Run& run : worker.runs_) {
+      if (run.task_) Report(*run.task_, TaskEnd::kUnknown, out);
+      run.task_.reset();
+      BeginStop(&worker, &run, now, out);
+    }
+    SendHold(&worker, /*renew=*/true, now, out);
+  }
+  ++load_version_;
+}
+
+OwnerLoad RunOwner::load() const {
+  OwnerLoad load;
+  load.draining_ = draining_;
+  for (const auto& [id, worker] : workers_) {
+    if (!worker.confirmed_ || worker.retiring_ || worker.info_->leaving_ ||
+        worker.hold_failures_ > 0 || worker.set_asides_ > 0) {
+      continue;
+    }
+    load.capacity_cpu_milli_ +=
+        static_cast<uint64_t>(worker.info_->capacity_.cpu_milli_);
+    const auto known =
+        std::find(load.pools_.begin(), load.pools_.end(), worker.info_->pool_);
+    const auto index = static_cast<uint8_t>(known - load.pools_.begin());
+    if (known == load.pools_.end()) load.pools_.push_back(worker.info_->pool_);
+    if (worker.free_.cpu_milli_ > 0)
+      load.free_.push_back({index, worker.free_});
+  }
+  for (const Task& task : queue_) {
+    load.queued_core_ms_ += static_cast<uint64_t>(
+        task.order_->need_.cpu_milli_ * task.order_->expected_.ms_ / 1000);
+  }
+  load.queued_tasks_ = static_cast<uint32_t>(queue_.size());
+  return load;
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/worker_claims.cc
@@ -0,0 +1,236 @@
+#include "worker_claims.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace gentiandeal {
+namespace {
+
+using Json = nlohmann::json;
+
+/// A worker whose entry lapsed with the store is listed again within two
+/// seconds of the store's return; one still missing after this is gone.
+constexpr Duration kUnlistedGrace{2200};
+/// A worker that is gone is given up after this, even when runs are left.
+constexpr Duration kUnlistedLimit{4500};
+
+}  // namespace
+
+bool ParseInstanceRecord(std::string_view text, InstanceRecord* out) {
+  const Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) return false;
+  try {
+    InstanceRecord record;
+    record.name_.value_ = json.at("name").get<std::string>();
+    record.incarnation_.value_ = json.at("incarnation").get<uint64_t>();
+    record.data_centre_ = json.at("data_centre").get<std::string>();
+    record.draining_ = json.at("draining").get<bool>();
+    record.workers_ = json.at("workers").get<std::set<std::string>>();
+    if (ParseAddress(json.at("peers").get<std::string>(), &record.peers_)) {
+      return false;
+    }
+    *out = std::move(record);
+    return true;
+  } catch (const Json::exception&) {
+    return false;
+  }
+}
+
+std::string ToJson(const InstanceRecord& record) {
+  Json json;
+  json["name"] = record.name_.value_;
+  json["incarnation"] = record.incarnation_.value_;
+  json["data_centre"] = record.data_centre_;
+  json["peers"] = ToString(record.peers_);
+  json["draining"] = record.draining_;
+  json["workers"] = record.workers_;
+  return json.dump();
+}
+
+std::map<std::string, std::string> AssignWorkers(const ClaimView& view) {
+  std::map<std::string, std::vector<std::string>> workers;
+  std::map<std::string, std::vector<std::string>> instances;
+  std::map<std::string, size_t> count;
+  for (const auto& [name, data_centre] : view.instances_) {
+    instances[data_centre].push_back(name);
+    count[name] = 0;
+  }
+  for (const auto& [id, data_centre] : view.workers_) {
+    const bool served = instances.count(data_centre) > 0;
+    workers[served ? data_centre : std::string()].push_back(id);
+  }
+  std::map<std::string, std::string> wanted;
+  for (const auto& [data_centre, ids] : workers) {
+    std::vector<std::string> takers;
+    if (data_centre.empty()) {
+      for (const auto& [name, unused] : view.instances_) takers.push_back(name);
+    } else {
+      takers = instances[data_centre];
+    }
+    if (takers.empty()) continue;
+    std::map<std::string, size_t> share;
+    for (const std::string& name : takers) share[name] = 0;
+    const size_t most = (ids.size() + takers.size() - 1) / takers.size();
+    std::vector<std::string> free;
+    for (const std::string& id : ids) {
+      const auto owner = view.owners_.find(id);
+      const auto taker =
+          owner == view.owners_.end() ? share.end() : share.find(owner->second);
+      if (taker == share.end() || taker->second >= most) {
+        free.push_back(id);
+        continue;
+      }
+      ++taker->second;
+      wanted[id] = taker->first;
+    }
+    for (const std::string& id : free) {
+      const auto least = std::min_element(
+          share.begin(), share.end(),
+          [](const auto& a, const auto& b) { return a.second < b.second; });
+      ++least->second;
+      wanted[id] = least->first;
+    }
+  }
+  return wanted;
+}
+
+void WorkerClaims::InstanceListed(const InstanceRecord& record) {
+  if (record.name_ == self_.name_) return;
+  Peer& peer = peers_[record.name_.value_];
+  peer.record_ = record;
+  peer.listed_ = true;
+}
+
+void WorkerClaims::InstanceUnlisted(const InstanceName& name) {
+  const auto found = peers_.find(name.value_);
+  if (found == peers_.end()) return;
+  found->second.listed_ = false;
+  if (!found->second.reachable_) peers_.erase(found);
+}
+
+void WorkerClaims::Reachable(const InstanceName& name, bool reachable) {
+  const auto found = peers_.find(name.value_);
+  if (found == peers_.end()) return;
+  found->second.reachable_ = reachable;
+  if (!reachable && !found->second.listed_) peers_.erase(found);
+}
+
+void WorkerClaims::WorkerListed(const LeasedWorker& worker, Time /*now*/,
+                                ClaimOutbox* out) {
+  listed_[worker.id_.value_] = worker;
+  unlisted_.erase(worker.id_.value_);
+  if (owned_.count(worker.id_.value_) > 0) out->push_back(UpdateWorker{worker});
+}
+
+void WorkerClaims::WorkerUnlisted(const WorkerId& worker, Time now) {
+  if (listed_.count(worker.value_) > 0) unlisted_.emplace(worker.value_, now);
+}
+
+void WorkerClaims::Written(Fence fence, ClaimOutbox* out) {
+  writing_ = false;
+  for (const std::string& id : self_.workers_) {
+    const auto listed = listed_.find(id);
+    if (owned_.count(id) > 0 || listed == listed_.end()) continue;
+    owned_.insert(id);
+    out->push_back(OwnWorker{listed->second, fence});
+  }
+}
+
+void WorkerClaims::Lost(const WorkerId& worker) {
+  owned_.erase(worker.value_);
+  retiring_.erase(worker.value_);
+  changed_ = self_.workers_.erase(worker.value_) > 0 || changed_;
+}
+
+void WorkerClaims::Drain() {
+  self_.draining_ = true;
+  changed_ = true;
+}
+
+ClaimView WorkerClaims::View() const {
+  ClaimView view;
+  if (!self_.draining_) {
+    view.instances_[self_.name_.value_] = self_.data_centre_;
+  }
+  for (const auto& [name, peer] : peers_) {
+    if (!peer.record_.draining_) {
+      view.instances_[name] = peer.record_.data_centre_;
+    }
+    for (const std::string& id : peer.record_.workers_) {
+      view.owners_[id] = name;
+    }
+  }
+  for (const std::string& id : self_.workers_) {
+    view.owners_[id] = self_.name_.value_;
+  }
+  for (const auto& [id, worker] : listed_) {
+    view.workers_[id] = worker.data_centre_;
+  }
+  return view;
+}
+
+void WorkerClaims::ForgetWorkers(
+    Time now, const std::function<bool(const WorkerId&)>& idle,
+    ClaimOutbox* out) {
+  for (auto gone = unlisted_.begin(); gone != unlisted_.end();) {
+    const auto& [id, since] = *gone;
+    const Duration age = now - since;
+    const bool over =
+        age > kUnlistedGrace && (idle({id}) || age > kUnlistedLimit);
+    if (!over) {
+      if (age > kUnlistedGrace && owned_.count(id) > 0) {
+        out->push_back(RetireWorker{{id}});
+      }
+      ++gone;
+      continue;
+    }
+    if (owned_.count(id) > 0) out->push_back(DisownWorker{{id}});
+    Lost({id});
+    listed_.erase(id);
+    gone = unlisted_.erase(gone);
+  }
+}
+
+void WorkerClaims::Tick(Time now,
+                        const std::function<bool(const WorkerId&)>& idle,
+                        ClaimOutbox* out) {
+  ForgetWorkers(now, idle, out);
+  if (!store_up_ && !self_.draining_) return;
+  const ClaimView view = View();
+  const auto wanted = AssignWorkers(view);
+  for (const auto& [id, worker] : listed_) {
+    const auto taker = wanted.find(id);
+    const bool taken = taker != wanted.end();
+    const bool mine = taken && taker->second == self_.name_.value_;
+    if (owned_.count(id) > 0) {
+      if (self_.draining_ || (taken && !mine)) Release({id}, idle, out);
+    } else if (mine && now >= claim_from_ && view.owners_.count(id) == 0 &&
+               unlisted_.count(id) == 0) {
+      changed_ = self_.workers_.insert(id).second || changed_;
+    }
+  }
+  if (!changed_ || writing_ || !store_up_) return;
+  changed_ = false;
+  writing_ = true;
+  out->push_back(PublishRecord{self_});
+}
+
+void WorkerClaims::Release(const WorkerId& worker,
+                           const std::function<bool(const WorkerId&)>& idle,
+                           ClaimOutbox* out) {
+  if (retiring_.insert(worker.value_).second) {
+    out->push_back(RetireWorker{worker});
+  }
+  if (!idle(worker)) return;
+  out->push_back(DisownWorker{worker});
+  Lost(worker);
+}
+
+std::vector<InstanceRecord> WorkerClaims::Peers() const {
+  std::vector<InstanceRecord> peers;
+  for (const auto& [name, peer] : peers_) peers.push_back(peer.record_);
+  return peers;
+}
+
+}  // namespace gentiandeal
