Keep the room of a run that is being stopped until its end is listed

Cause: a worker lists a run neither as running nor as ended while it stops it (up to 50 ms). Ruled out: late orders (their leases had passed). Cases KeepsTheRoomOfAStoppedRun... and KeepsTheRoomOfAForeignRun... failed before. Holds to a worker that does not answer no longer renew its lease, so that the end of its runs is known (case TakesRunsForOver... failed before). Idle connections are kept: the library closed them after the last timeout.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -11,6 +11,9 @@
 namespace gentiandeal {
 namespace {
 
+/// Idle connections are kept as long as servers keep them.
+constexpr timeval kIdleTimeout{60, 0};
+
 evhttp_cmd_type ParseMethod(std::string_view method) {
   constexpr std::pair<std::string_view, evhttp_cmd_type> kMethods[] = {
       {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},
@@ -134,6 +137,8 @@
   HttpClient* self = exchange->client_;
   const HttpResponse response = ReadResponse(request);
   if (MayReuse(response)) {
+    // The library would close an idle connection after the last timeout.
+    evhttp_connection_set_timeout_tv(exchange->connection_, &kIdleTimeout);
     self->idle_[exchange->to_].push_back(exchange->connection_);
   } else {
     self->FreeLater(exchange->connection_);
--- a/src/run_owner.cc
+++ b/src/run_owner.cc
@@ -7,14 +7,17 @@
 namespace gentiandeal {
 namespace {
 
-/// How much longer than asked a lease may last: a worker's clock may be 2 %
-/// slow, and its answer to a lapse takes a moment.
-constexpr Duration kLeaseSlack{60};
+/// How much longer than asked a run may last: a worker's clock may be 2 % slow,
+/// and it takes up to its stop timeout, 50 ms, to end a run.
+constexpr Duration kLeaseSlack{120};
 /// Wait after a failed hold; doubles up to the limit.
 constexpr Duration kHoldBackoff{40};
 constexpr Duration kMaxHoldBackoff{320};
 /// Pause between two stops of one run.
 constexpr Duration kStopInterval{120};
+/// A run that is being stopped may be listed neither as running nor as ended
+/// for the workers' stop timeout; one that is missing after this is gone.
+constexpr Duration kStopSettle{150};
 /// A run that takes longer than its expected time by this factor, and this
 /// much, is looked at out of turn.
 constexpr double kOverdueFactor = 1.7;
@@ -46,9 +49,9 @@
 }
 
 WorkerCallId RunOwner::NewCall(CallKind kind, const Worker& worker,
-                               uint64_t run) {
+                               uint64_t run, Time now) {
   const WorkerCallId id{++last_call_};
-  calls_[id.value_] = {kind, worker.info_->id_.value_, run};
+  calls_[id.value_] = {kind, worker.info_->id_.value_, run, now};
   return id;
 }
 
@@ -282,7 +285,7 @@
   worker->lease_until_ = std::max(worker->lease_until_, now + limits_.lease_);
   ++stats_.starts_;
   StartRun start;
-  start.call_ = NewCall(CallKind::kStart, *worker, run.key_);
+  start.call_ = NewCall(CallKind::kStart, *worker, run.key_, now);
   start.worker_ = worker->info_;
   start.task_ = run.name_;
   start.run_ = run.number_;
@@ -300,12 +303,15 @@
   open = true;
   ++stats_.holds_;
   HoldWorker hold;
-  hold.call_ = NewCall(renew ? CallKind::kRenew : CallKind::kHold, *worker, 0);
+  hold.call_ =
+      NewCall(renew ? CallKind::kRenew : CallKind::kHold, *worker, 0, now);
   hold.worker_ = worker->info_;
   hold.fence_ = worker->fence_;
   hold.last_seen_ = worker->last_seen_;
-  // Foreign runs found at a takeover are not kept alive.
-  if (worker->clock_known_ && worker->confirmed_) {
+  // Foreign runs found at a takeover are not kept alive, and the runs of a
+  // worker that doesn't answer must end at a time known here.
+  if (worker->clock_known_ && worker->confirmed_ &&
+      worker->hold_failures_ == 0) {
     hold.lease_until_ms_ = LeaseEnd(*worker, now);
     worker->lease_until_ = std::max(worker->lease_until_, now + limits_.lease_);
   }
@@ -321,10 +327,11 @@
 
 void RunOwner::SendStop(Worker* worker, Run* run, Time now, OwnerOutbox* out) {
   run->stop_open_ = true;
+  run->settled_.reset();
   run->stop_at_ = now + kStopInterval;
   ++stats_.stops_;
   StopRun stop;
-  stop.call_ = NewCall(CallKind::kStop, *worker, run->key_);
+  stop.call_ = NewCall(CallKind::kStop, *worker, run->key_, now);
   stop.worker_ = worker->info_;
   stop.task_ = run->name_;
   stop.run_ = run->number_;
@@ -369,7 +376,7 @@
   }
   if (ended.result_ == StartResult::kStarted) {
     run.answered_ = true;
-    run.settled_ = last_call_;
+    run.settled_ = now + kStopSettle;
     if (run.task_) run.task_->started_ = true;
     if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
     return;
@@ -411,8 +418,8 @@
     run.stop_open_ = false;
     if (!ended.answered_) return;
     run.stop_answered_ = true;
-    run.settled_ = last_call_;
-    // Shows the end, or that the run never was there.
+    run.settled_ = now + kStopSettle;
+    // Shows the end; one that never began is missed by a later hold.
     SendHold(worker, /*renew=*/true, now, out);
     return;
   }
@@ -444,6 +451,7 @@
     Update(reborn, now, out);
     worker->confirmed_ = false;
   }
+  const uint64_t version = load_version_;
   const bool was_usable = Usable(*worker, now);
   worker->hold_failures_ = 0;
   // Answers on two connections may overtake each other.
@@ -457,11 +465,11 @@
   }
   ReadFinished(worker, ended, now, out);
   if (newest) {
-    ReadRunning(worker, ended, /*conclusive=*/true, now, out);
+    ReadRunning(worker, ended, call.sent_, now, out);
     worker->confirmed_ = true;
   }
   if (!worker->hold_open_) SendHold(worker, /*renew=*/false, now, out);
-  if (!was_usable || !ended.finished_.empty()) StartWaiting(now, out);
+  if (!was_usable || load_version_ != version) StartWaiting(now, out);
 }
 
 void RunOwner::ReadFinished(Worker* worker, const HoldEnded& ended, Time now,
@@ -510,8 +518,8 @@
   Requeue(std::move(task), *worker, now, out);
 }
 
-void RunOwner::ReadRunning(Worker* worker, const HoldEnded& ended,
-                           bool conclusive, Time now, OwnerOutbox* out) {
+void RunOwner::ReadRunning(Worker* worker, const HoldEnded& ended, Time sent,
+                           Time now, OwnerOutbox* out) {
   std::unordered_map<std::string, double> listed;
   for (const RunningRun& running : ended.running_) {
     listed.emplace(RunKey(running.task_, running.run_), running.percent_);
@@ -520,7 +528,7 @@
   for (Run& run : worker->runs_) {
     const auto found = listed.find(RunKey(run.name_, run.number_));
     if (found != listed.end()) {
-      if (!run.answered_) run.settled_ = last_call_;
+      if (!run.settled_) run.settled_ = now + kStopSettle;
       run.answered_ = true;
       if (run.task_) run.task_->started_ = true;
       if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
@@ -528,11 +536,11 @@
       listed.erase(found);
       continue;
     }
-    const bool settled = run.settled_ != 0 && ended.call_.value_ > run.settled_;
-    const bool too_late = !run.answered_ && run.late_after_ms_ != 0 &&
+    const bool settled = run.settled_ && sent >= *run.settled_;
+    const bool too_late = !run.answered_ && run.late_after_ms_ > 0 &&
                           ended.clock_ms_ > run.late_after_ms_ &&
                           run.state_ == RunState::kStopping;
-    if (conclusive && (settled || too_late)) gone.push_back(run.key_);
+    if (settled || too_late) gone.push_back(run.key_);
   }
   for (const uint64_t key : gone) {
     const auto found =
--- a/src/run_owner.h
+++ b/src/run_owner.h
@@ -224,8 +224,8 @@
     bool stop_open_ = false;
     bool stop_answered_ = false;
     Time stop_at_;  ///< Next stop, when none is open.
-    /// Holds sent after this call show whether it is there; 0 until known.
-    uint64_t settled_ = 0;
+    /// Holds sent after this show whether it is there; absent until known.
+    std::optional<Time> settled_;
   };
 
   struct Worker {
@@ -256,10 +256,12 @@
     CallKind kind_ = CallKind::kStart;
     std::string worker_;
     uint64_t run_ = 0;
+    Time sent_;
   };
 
   Worker* Find(const std::string& id);
-  WorkerCallId NewCall(CallKind kind, const Worker& worker, uint64_t run);
+  WorkerCallId NewCall(CallKind kind, const Worker& worker, uint64_t run,
+                       Time now);
   bool TakeCall(WorkerCallId id, Call* out);
   int64_t LeaseEnd(const Worker& worker, Time now) const;
   bool Usable(const Worker& worker, Time now) const;
@@ -278,8 +280,8 @@
               OwnerOutbox* out);
   void ReadFinished(Worker* worker, const HoldEnded& ended, Time now,
                     OwnerOutbox* out);
-  void ReadRunning(Worker* worker, const HoldEnded& ended, bool conclusive,
-                   Time now, OwnerOutbox* out);
+  void ReadRunning(Worker* worker, const HoldEnded& ended, Time sent, Time now,
+                   OwnerOutbox* out);
   void CheckProgress(Worker* worker, Run* run, double percent, Time now,
                      OwnerOutbox* out);
   void DropRuns(Worker* worker, bool provably_over, Time now, OwnerOutbox* out);
--- /dev/null
+++ b/tests/unit/run_owner_test.cc
@@ -0,0 +1,205 @@
+#include <boost/test/unit_test.hpp>
+
+#include "run_owner_fixture.h"
+
+namespace gentiandeal {
+namespace {
+
+BOOST_FIXTURE_TEST_SUITE(run_owner, RunOwnerFixture)
+
+BOOST_AUTO_TEST_CASE(StartsNothingBeforeTheFirstHoldListedTheRuns) {
+  owner_.Own(MakeWorker("w"), Fence{5}, now_, &out_);
+  Assign(1);
+  BOOST_TEST(All<StartRun>().empty());
+  AnswerHold();
+  BOOST_TEST(All<StartRun>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NeverOverbooksAWorker) {
+  Own("w");
+  Assign(3);
+  BOOST_TEST(All<StartRun>().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(StartsWaitingTaskWhenAnEndIsListed) {
+  Own("w");
+  Assign(3);
+  const auto starts = All<StartRun>();
+  for (const StartRun& start : starts) AnswerStart(start);
+  Advance(200);
+  AnswerHold({{starts[1].task_, 1, 90}},
+             {{1, starts[0].task_, 1, RunEnd::kDone}});
+  BOOST_TEST(All<StartRun>().size() == 3U);
+  BOOST_REQUIRE(All<ReportTask>().size() == 1U);
+  BOOST_TEST((Last<ReportTask>().ended_.end_ == TaskEnd::kDone));
+}
+
+// A worker takes up to its stop timeout to stop a run, and lists it neither as
+// running nor as ended meanwhile.
+BOOST_AUTO_TEST_CASE(KeepsTheRoomOfAStoppedRunUntilItsEndIsListed) {
+  Own("w");
+  const AssignTasks first = Assign(2);
+  for (const StartRun& start : All<StartRun>()) AnswerStart(start);
+  const std::string task = All<StartRun>()[0].task_;
+  Advance(20);
+  owner_.On(kOwnSession, WithdrawTasks{{first.tasks_[0].serial_}}, now_, &out_);
+  Assign(1);
+  AnswerStop(Last<StopRun>());
+  now_ = now_ + Duration{5};
+  AnswerHold({{All<StartRun>()[1].task_, 1, 10}});
+  Advance(20);
+  BOOST_TEST(All<StartRun>().size() == 2U);
+  Advance(45);
+  AnswerHold({{All<StartRun>()[1].task_, 1, 20}},
+             {{1, task, 1, RunEnd::kStopped}});
+  BOOST_TEST(All<StartRun>().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsTheRoomOfAForeignRunUntilItsEndIsListed) {
+  owner_.Own(MakeWorker("w"), Fence{5}, now_, &out_);
+  Assign(1);
+  AnswerHold({{"00000000000000ff.0.0.0", 1, 50}});
+  BOOST_TEST(All<StartRun>().empty());
+  AnswerStop(Last<StopRun>());
+  now_ = now_ + Duration{5};
+  AnswerHold();
+  Advance(20);
+  BOOST_TEST(All<StartRun>().empty());
+  Advance(50);
+  AnswerHold({}, {{1, "00000000000000ff.0.0.0", 1, RunEnd::kStopped}});
+  BOOST_TEST(All<StartRun>().size() == 1U);
+}
+
+// The order may still be on its way: only a stop that was answered keeps it
+// from being carried out.
+BOOST_AUTO_TEST_CASE(StopsAStartWithoutAnAnswerBeforeUsingItsRoom) {
+  Own("w");
+  Assign(3);
+  const auto starts = All<StartRun>();
+  AnswerStart(starts[0], StartResult::kUnanswered);
+  AnswerStart(starts[1]);
+  BOOST_TEST(All<StopRun>().size() == 1U);
+  AnswerHold({{starts[1].task_, 1, 1}});
+  BOOST_TEST(All<StartRun>().size() == 2U);
+  AnswerStop(Last<StopRun>());
+  AnswerHold({{starts[1].task_, 1, 50}});
+  Advance(200);
+  AnswerHold({{starts[1].task_, 1, 50}});
+  BOOST_TEST(All<StartRun>().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(TakesALostAnswerForARunWhenItIsListed) {
+  Own("w");
+  Assign(2);
+  const auto starts = All<StartRun>();
+  AnswerStart(starts[0]);
+  AnswerStart(starts[1]);
+  Advance(200);
+  AnswerHold({}, {{1, starts[0].task_, 1, RunEnd::kDone},
+                  {2, starts[1].task_, 1, RunEnd::kDone}});
+  BOOST_TEST(All<ReportTask>().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(LosesAWorkerWhoseFenceHasRisen) {
+  Own("w");
+  Assign(1);
+  HoldEnded stale;
+  stale.call_ = Last<HoldWorker>().call_;
+  stale.result_ = HoldResult::kStaleFence;
+  owner_.On(stale, now_, &out_);
+  BOOST_REQUIRE(All<WorkerLost>().size() == 1U);
+  BOOST_TEST((Last<ReportTask>().ended_.end_ == TaskEnd::kUnknown));
+  BOOST_TEST(!owner_.Owns({"w"}));
+}
+
+BOOST_AUTO_TEST_CASE(TakesRunsForOverOnceTheirLeaseHasPassed) {
+  Own("w");
+  Own("v");
+  Assign(1);
+  AnswerStart(Last<StartRun>());
+  const std::string first = Last<StartRun>().worker_->id_.value_;
+  for (int i = 0; i < 60; ++i) {
+    for (const HoldWorker& hold : All<HoldWorker>()) {
+      if (hold.worker_->id_.value_ != first) {
+        owner_.On(Listing(hold.call_), now_, &out_);
+        continue;
+      }
+      HoldEnded silent;
+      silent.call_ = hold.call_;
+      owner_.On(silent, now_, &out_);
+    }
+    Advance(20);
+    if (All<StartRun>().size() > 1) break;
+  }
+  BOOST_REQUIRE(All<StartRun>().size() == 2U);
+  BOOST_TEST(Last<StartRun>().worker_->id_.value_ != first);
+  BOOST_TEST(now_.ms_ >= 1000000 + RunOwnerLimits{}.lease_.ms_);
+}
+
+BOOST_AUTO_TEST_CASE(GivesUpTasksThatCanNoLongerHelp) {
+  Own("w");
+  Assign(3, kTask, 100, 300);
+  Advance(301);
+  BOOST_REQUIRE(All<ReportTask>().size() == 1U);
+  BOOST_TEST((Last<ReportTask>().ended_.end_ == TaskEnd::kExpired));
+  BOOST_TEST(!Last<ReportTask>().ended_.started_);
+}
+
+BOOST_AUTO_TEST_CASE(SetsAWorkerAsideThatFailsAllItStarts) {
+  Own("w");
+  Assign(4);
+  uint64_t number = 0;
+  for (int i = 0; i < 2; ++i) {
+    const StartRun start = Last<StartRun>();
+    AnswerStart(start);
+    AnswerHold({}, {{++number, start.task_, 1, RunEnd::kFailed}});
+  }
+  BOOST_TEST(owner_.stats().set_aside_ == 1U);
+  const size_t before = All<StartRun>().size();
+  Advance(100);
+  BOOST_TEST(All<StartRun>().size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(MovesARunThatStandsStill) {
+  Own("w");
+  Own("v");
+  Assign(1);
+  const StartRun start = Last<StartRun>();
+  AnswerStart(start);
+  for (int i = 0; i < 40 && All<StopRun>().empty(); ++i) {
+    Advance(20);
+    for (const HoldWorker& hold : All<HoldWorker>()) {
+      HoldEnded listing = Listing(hold.call_);
+      if (hold.worker_->id_.value_ == start.worker_->id_.value_) {
+        listing.running_ = {{start.task_, 1, 3}};
+      }
+      owner_.On(listing, now_, &out_);
+    }
+  }
+  BOOST_REQUIRE(All<StopRun>().size() == 1U);
+  BOOST_TEST(owner_.stats().stalled_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StopsAllThatASessionLeftBehind) {
+  Own("w");
+  AssignTasks assign = Assign(2);
+  owner_.EndSession(kOwnSession, now_, &out_);
+  BOOST_TEST(All<StopRun>().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(StartsNothingOnBeliefsFromBeforeAPause) {
+  Own("w");
+  Assign(3);
+  for (const StartRun& start : All<StartRun>()) AnswerStart(start);
+  now_ = now_ + Duration{3000};
+  owner_.Resume(now_, &out_);
+  BOOST_TEST(All<StopRun>().size() == 2U);
+  const size_t before = All<StartRun>().size();
+  Assign(1);
+  BOOST_TEST(All<StartRun>().size() == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace gentiandeal
