Start nothing beside runs of another owner until all of them are over

Cause: at a takeover the first foreign run was booked with all free room and the others with none, so the first end freed the whole worker while two others were still being stopped.

--- a/src/run_owner.cc
+++ b/src/run_owner.cc
@@ -69,9 +69,15 @@
   return worker.clock_ms_ + (now - worker.clock_read_).ms_ + limits_.lease_.ms_;
 }
 
+bool RunOwner::HasForeignRun(const Worker& worker) {
+  return std::any_of(worker.runs_.begin(), worker.runs_.end(),
+                     [](const Run& run) { return run.foreign_; });
+}
+
 bool RunOwner::Usable(const Worker& worker, Time now) const {
   return worker.confirmed_ && !worker.retiring_ && !worker.info_->leaving_ &&
-         worker.hold_failures_ == 0 && now >= worker.aside_until_;
+         worker.hold_failures_ == 0 && now >= worker.aside_until_ &&
+         !HasForeignRun(worker);
 }
 
 void RunOwner::Own(const LeasedWorker& worker, Fence fence, Time now,
@@ -550,8 +556,8 @@
     RemoveRun(worker, key);
     if (task) Requeue(std::move(*task), *worker, now, out);
   }
-  // What is left was started by an owner before, or before a pause. Its size
-  // isn't known: nothing fits beside it until it is over.
+  // What is left was started by an owner before. Its size isn't known, so that
+  // nothing is started beside it.
   for (const RunningRun& running : ended.running_) {
     if (listed.count(RunKey(running.task_, running.run_)) == 0) continue;
     ++stats_.foreign_runs_;
@@ -559,9 +565,8 @@
     run.key_ = ++last_run_;
     run.name_ = running.task_;
     run.number_ = running.run_;
-    run.need_ = worker->free_;
     run.answered_ = true;
-    worker->free_ = Room{};
+    run.foreign_ = true;
     BeginStop(worker, &run, now, out);
   }
 }
@@ -669,7 +674,8 @@
   load.draining_ = draining_;
   for (const auto& [id, worker] : workers_) {
     if (!worker.confirmed_ || worker.retiring_ || worker.info_->leaving_ ||
-        worker.hold_failures_ > 0 || worker.set_asides_ > 0) {
+        worker.hold_failures_ > 0 || worker.set_asides_ > 0 ||
+        HasForeignRun(worker)) {
       continue;
     }
     load.capacity_cpu_milli_ +=
--- a/src/run_owner.h
+++ b/src/run_owner.h
@@ -220,6 +220,7 @@
     std::optional<Task> task_;  ///< Absent when nobody waits for its end.
     Time sent_at_;
     int64_t late_after_ms_ = 0;  ///< On the worker's clock: too late to begin.
+    bool foreign_ = false;       ///< Started by another owner.
     bool answered_ = false;      ///< The start was answered, or was listed.
     bool stop_open_ = false;
     bool stop_answered_ = false;
@@ -264,6 +265,7 @@
                        Time now);
   bool TakeCall(WorkerCallId id, Call* out);
   int64_t LeaseEnd(const Worker& worker, Time now) const;
+  static bool HasForeignRun(const Worker& worker);
   bool Usable(const Worker& worker, Time now) const;
 
   void SendHold(Worker* worker, bool renew, Time now, OwnerOutbox* out);
--- a/tests/unit/run_owner_fixture.h
+++ b/tests/unit/run_owner_fixture.h
@@ -2,6 +2,7 @@
 #define GENTIANDEAL_TESTS_UNIT_RUN_OWNER_FIXTURE_H_
 
 #include <algorithm>
+#include <set>
 
 #include "run_owner.h"
 
@@ -15,6 +16,7 @@
   OwnerOutbox out_;
   Time now_{1000000};
   uint64_t last_serial_ = 0;
+  std::set<uint64_t> answered_;
 
   static LeasedWorker MakeWorker(const std::string& id, int32_t cpu = 32000) {
     LeasedWorker worker;
@@ -61,10 +63,21 @@
     return ended;
   }
 
-  /// Answers the last hold that was sent.
+  /// The newest hold that was not answered yet.
+  WorkerCallId OpenHold() const {
+    const auto holds = All<HoldWorker>();
+    const auto open =
+        std::find_if(holds.rbegin(), holds.rend(), [&](const HoldWorker& hold) {
+          return answered_.count(hold.call_.value_) == 0;
+        });
+    return open == holds.rend() ? WorkerCallId{} : open->call_;
+  }
+
+  /// Answers the newest open hold.
   void AnswerHold(std::vector<RunningRun> running = {},
                   std::vector<FinishedRun> finished = {}) {
-    HoldEnded ended = Listing(Last<HoldWorker>().call_);
+    HoldEnded ended = Listing(OpenHold());
+    answered_.insert(ended.call_.value_);
     ended.running_ = std::move(running);
     ended.finished_ = std::move(finished);
     owner_.On(ended, now_, &out_);
--- a/tests/unit/run_owner_test.cc
+++ b/tests/unit/run_owner_test.cc
@@ -70,6 +70,21 @@
   BOOST_TEST(All<StartRun>().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(WaitsForTheEndOfEveryForeignRun) {
+  owner_.Own(MakeWorker("w"), Fence{5}, now_, &out_);
+  Assign(1);
+  AnswerHold(
+      {{"00000000000000ff.0.0.0", 1, 50}, {"00000000000000ff.0.0.1", 1, 50}});
+  for (const StopRun& stop : All<StopRun>()) AnswerStop(stop);
+  Advance(30);
+  AnswerHold({{"00000000000000ff.0.0.1", 1, 60}},
+             {{1, "00000000000000ff.0.0.0", 1, RunEnd::kStopped}});
+  Advance(20);
+  BOOST_TEST(All<StartRun>().empty());
+  AnswerHold({}, {{2, "00000000000000ff.0.0.1", 1, RunEnd::kStopped}});
+  BOOST_TEST(All<StartRun>().size() == 1U);
+}
+
 // The order may still be on its way: only a stop that was answered keeps it
 // from being carried out.
 BOOST_AUTO_TEST_CASE(StopsAStartWithoutAnAnswerBeforeUsingItsRoom) {
@@ -115,7 +130,7 @@
 BOOST_AUTO_TEST_CASE(TakesRunsForOverOnceTheirLeaseHasPassed) {
   Own("w");
   Own("v");
-  Assign(1);
+  Assign(1, kTask, 500, 3000);
   AnswerStart(Last<StartRun>());
   const std::string first = Last<StartRun>().worker_->id_.value_;
   for (int i = 0; i < 60; ++i) {
