Admit jobs by the expected wait for room; late tasks wait behind the others

Cause: under overload the owner's queue put the longest-waiting tasks first, which were late already, and desks accepted jobs by the work queued over the whole capacity. Ruled out: the queue's length itself; lost owners (no such events in 17-28 s). Now a desk expects a wait from the cores that running tasks give back each second and what waits ahead by urgency, and refuses at once; a task late already starts only when none is on time.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -338,7 +338,8 @@
   void RefreshOwnLoad() {
     if (owner_.load_version() == own_version_) return;
     own_version_ = owner_.load_version();
-    desk_.OwnerReports(init_.name_, init_.data_centre_, owner_.load());
+    desk_.OwnerReports(init_.name_, init_.data_centre_,
+                       owner_.load(clock_.Now()));
   }
 
   void ShareLoad(Time now) {
@@ -348,7 +349,7 @@
     }
     shared_version_ = owner_.load_version();
     shared_at_ = now;
-    mesh_.SendLoad(owner_.load());
+    mesh_.SendLoad(owner_.load(clock_.Now()));
   }
 
   static void OnTick(evutil_socket_t, short, void* arg) {
@@ -407,7 +408,7 @@
     self->RefreshOwnLoad();
     self->claims_.Drain();
     self->CarryOut();
-    self->mesh_.SendLoad(self->owner_.load());
+    self->mesh_.SendLoad(self->owner_.load(self->drain_began_));
   }
 
   void ContinueDrain(Time now) {
--- a/src/job_desk.cc
+++ b/src/job_desk.cc
@@ -3,16 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "room_wait.h"
+
 namespace gentiandeal {
 namespace {
 
-/// Share of the cores that tasks can fill: two or three fit a worker, and the
-/// rest is too small for another.
-constexpr double kPackingShare = 0.8;
-/// A job is refused when its tasks would wait longer than this share of the
-/// time after which its answer is late, and a floor.
-constexpr double kMaxWaitShare = 1.3;
-constexpr Duration kMinAcceptedWait{40};
+/// A job is refused when its last task would have to wait longer than this
+/// share of the time after which the answer is late.
+constexpr double kMaxWaitShare = 1.0;
 /// Another data centre must be this much faster to be given a waiting task.
 constexpr Duration kHopAdvantage{30};
 /// Times a task is placed again before its job is given up.
@@ -38,28 +36,11 @@
   return std::max(Duration{0}, job.objective_ - LongestChain(job));
 }
 
-double QueueWaitMs(const OwnerLoad& load) {
-  if (load.capacity_cpu_milli_ == 0) return 1e9;
-  return static_cast<double>(load.queued_core_ms_) * 1000 /
-         static_cast<double>(load.capacity_cpu_milli_) / kPackingShare;
-}
-
-bool HasPool(const OwnerLoad& load, const std::string& pool) {
-  return std::find(load.pools_.begin(), load.pools_.end(), pool) !=
-         load.pools_.end();
-}
-
-/// The tightest room that holds `need`, or null.
-FreeRoom* TightestRoom(OwnerLoad* load, const std::string& pool,
-                       const Room& need) {
-  FreeRoom* best = nullptr;
-  for (FreeRoom& free : load->free_) {
-    if (!Fits(need, free.room_) || load->pools_[free.pool_] != pool) continue;
-    if (best == nullptr || free.room_.cpu_milli_ < best->room_.cpu_milli_) {
-      best = &free;
-    }
+PoolLoad* FindPool(OwnerLoad* load, const std::string& pool) {
+  for (PoolLoad& one : load->pools_) {
+    if (one.pool_ == pool) return &one;
   }
-  return best;
+  return nullptr;
 }
 
 }  // namespace
@@ -93,27 +74,15 @@
       });
 }
 
-bool JobDesk::HasFreeRoom(const RoomJob& job) const {
+std::vector<const PoolLoad*> JobDesk::PoolLoads(const std::string& pool) const {
+  std::vector<const PoolLoad*> loads;
   for (const auto& [name, owner] : owners_) {
-    OwnerLoad load = owner.load_;
-    if (load.draining_) continue;
-    if (TightestRoom(&load, job.pool_, job.steps_[0].need_) != nullptr) {
-      return true;
+    if (owner.load_.draining_) continue;
+    for (const PoolLoad& load : owner.load_.pools_) {
+      if (load.pool_ == pool) loads.push_back(&load);
     }
   }
-  return false;
-}
-
-std::optional<Duration> JobDesk::ExpectedWait(const RoomJob& job) const {
-  std::optional<double> best;
-  for (const auto& [name, owner] : owners_) {
-    if (owner.load_.draining_ || !HasPool(owner.load_, job.pool_)) continue;
-    const double wait = QueueWaitMs(owner.load_);
-    if (!best || wait < *best) best = wait;
-  }
-  if (!best) return std::nullopt;
-  if (HasFreeRoom(job)) return Duration{0};
-  return Duration{static_cast<int64_t>(*best)};
+  return loads;
 }
 
 void JobDesk::Refuse(RequestId request, std::string_view reason,
@@ -135,18 +104,18 @@
     by_request_[submit.request_.value_] = known->second;
     return;
   }
-  const std::optional<Duration> wait = ExpectedWait(spec);
-  if (!wait) {
+  const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_);
+  if (loads.empty()) {
     return Refuse(submit.request_, "no-workers", kRetryAfter, out);
   }
   if (!FitsSomewhere(spec)) {
     return Refuse(submit.request_, "never-runnable", kRetryAfter, out);
   }
-  const Duration most =
-      std::max(kMinAcceptedWait,
-               Duration{static_cast<int64_t>(
-                   static_cast<double>(Slack(spec).ms_) * kMaxWaitShare)});
-  if (*wait > most) {
+  const RoomStep& first = spec.steps_[0];
+  const Duration slack = Slack(spec);
+  const Duration wait = ExpectedWait(loads, {first.count_, first.need_, slack});
+  if (static_cast<double>(wait.ms_) >
+      kMaxWaitShare * static_cast<double>(slack.ms_)) {
     return Refuse(submit.request_, "overloaded", kRetryAfter, out);
   }
   const uint64_t id = ++last_job_;
@@ -168,20 +137,21 @@
   Owner* best = nullptr;
   double best_cost = 0;
   for (auto& [key, owner] : owners_) {
-    if (owner.load_.draining_ || !HasPool(owner.load_, job.pool_)) continue;
+    PoolLoad* load = FindPool(&owner.load_, job.pool_);
+    if (owner.load_.draining_ || load == nullptr) continue;
     const bool near = owner.data_centre_ == data_centre_;
-    const bool own = key == self_.value_;
     double cost = near ? 0 : static_cast<double>(kHopAdvantage.ms_);
-    if (!own) cost += 0.5;
+    if (key != self_.value_) cost += 0.5;
     // A task that an owner gave back goes elsewhere if it can.
     if (task.moves_ > 0 && key == task.owner_.value_) cost += 20;
-    const FreeRoom* room = TightestRoom(&owner.load_, job.pool_, step.need_);
+    const Room* room = TightestRoom(&load->free_, step.need_);
     if (room != nullptr) {
-      cost = cost / 10 + static_cast<double>(room->room_.cpu_milli_ -
-                                             step.need_.cpu_milli_) /
-                             std::max(1, step.need_.cpu_milli_);
+      cost = cost / 10 +
+             static_cast<double>(room->cpu_milli_ - step.need_.cpu_milli_) /
+                 std::max(1, step.need_.cpu_milli_);
     } else {
-      cost += 10 + QueueWaitMs(owner.load_);
+      const Duration wait = ExpectedWait({load}, {1, step.need_, Slack(job)});
+      cost += 10 + static_cast<double>(wait.ms_);
     }
     if (best == nullptr || cost < best_cost) {
       best = &owner;
@@ -220,12 +190,14 @@
   std::string name;
   Owner* owner = PickOwner(spec, kind, task, &name);
   if (owner == nullptr) return;
-  FreeRoom* room = TightestRoom(&owner->load_, spec.pool_, kind.need_);
+  PoolLoad* load = FindPool(&owner->load_, spec.pool_);
+  Room* room = TightestRoom(&load->free_, kind.need_);
+  const auto cpu = static_cast<uint32_t>(kind.need_.cpu_milli_);
   if (room != nullptr) {
-    room->room_ -= kind.need_;
+    *room -= kind.need_;
+    load->release_milli_per_s_ += cpu * 1000ULL / kind.expected_.ms_;
   } else {
-    owner->load_.queued_core_ms_ += static_cast<uint64_t>(
-        kind.need_.cpu_milli_ * kind.expected_.ms_ / 1000);
+    load->queued_milli_[UrgencyClass(Slack(spec))] += cpu;
   }
   AssignTasks& assign = (*placed)[{name, step}];
   if (assign.tasks_.empty()) {
--- a/src/job_desk.h
+++ b/src/job_desk.h
@@ -30,6 +30,8 @@
   uint32_t max_failures_ = 1;  ///< Of one task, before the job has failed.
   /// The answer is on time within this, from the caller's first attempt.
   Duration objective_;
+  /// An answer later than this is worth nothing to the caller.
+  Duration useful_within_;
   Duration deadline_;  ///< The caller waits no longer than this.
 };
 
@@ -152,8 +154,7 @@
   using Placed = std::map<std::pair<std::string, uint32_t>, AssignTasks>;
 
   bool FitsSomewhere(const RoomJob& job) const;
-  bool HasFreeRoom(const RoomJob& job) const;
-  std::optional<Duration> ExpectedWait(const RoomJob& job) const;
+  std::vector<const PoolLoad*> PoolLoads(const std::string& pool) const;
   Owner* PickOwner(const RoomJob& job, const RoomStep& step,
                    const DeskTask& task, std::string* name);
   void PlaceReady(uint64_t id, Time now, DeskOutbox* out);
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -30,12 +30,6 @@
   archive.Value(task.index_);
 }
 
-template <typename A>
-void Fields(A& archive, FreeRoom& free) {
-  archive.Value(free.pool_);
-  Fields(archive, free.room_);
-}
-
 template <typename A>
 void Fields(A& archive, TaskEnded& ended) {
   Fields(archive, ended.serial_);
@@ -78,19 +72,18 @@
   List(archive, ended.ended_, config::kMaxRoomTasks, uint32_t{0});
 }
 
+template <typename A>
+void Fields(A& archive, PoolLoad& load) {
+  archive.Text(load.pool_);
+  List(archive, load.free_, config::kMaxWorkers, uint16_t{0});
+  archive.Value(load.release_milli_per_s_);
+  for (uint32_t& queued : load.queued_milli_) archive.Value(queued);
+}
+
 template <typename A>
 void Fields(A& archive, OwnerLoad& load) {
   Fields(archive, load.draining_);
   List(archive, load.pools_, config::kMaxPools, uint8_t{0});
-  List(archive, load.free_, config::kMaxWorkers, uint16_t{0});
-  archive.Value(load.capacity_cpu_milli_);
-  archive.Value(load.queued_core_ms_);
-  archive.Value(load.queued_tasks_);
-  if constexpr (A::kReads) {
-    for (const FreeRoom& free : load.free_) {
-      if (free.pool_ >= load.pools_.size()) archive.Fail();
-    }
-  }
 }
 
 template <typename A>
--- a/src/room.h
+++ b/src/room.h
@@ -2,6 +2,7 @@
 #define GENTIANDEAL_SRC_ROOM_H_
 
 #include <algorithm>
+#include <array>
 
 #include "gentiandeal_p.h"
 
@@ -128,21 +129,35 @@
   bool started_ = false;  ///< Whether any run of it began.
 };
 
-/// Unused room of one worker.
-struct FreeRoom {
-  uint8_t pool_ = 0;  ///< Index into `OwnerLoad::pools_`.
-  Room room_;
+/// Upper bounds of the urgency classes of waiting tasks, in milliseconds until
+/// they should start. The last class also holds tasks that are late: they wait
+/// behind all others.
+inline constexpr std::array<int64_t, 7> kUrgencyBounds = {25,  50,  100, 200,
+                                                          400, 800, 1600};
+inline constexpr size_t kUrgencyClasses = kUrgencyBounds.size() + 1;
+
+/// Class of a task that should start within `slack`.
+inline size_t UrgencyClass(Duration slack) {
+  if (slack.ms_ < 0) return kUrgencyClasses - 1;
+  const auto bound =
+      std::lower_bound(kUrgencyBounds.begin(), kUrgencyBounds.end(), slack.ms_);
+  return static_cast<size_t>(bound - kUrgencyBounds.begin());
+}
+
+/// Room and backlog of the usable workers of one pool.
+struct PoolLoad {
+  std::string pool_;
+  std::vector<Room> free_;  ///< Of each worker that has any.
+  /// Cores that running tasks give back, thousandths of a core a second.
+  uint64_t release_milli_per_s_ = 0;
+  /// Cores that waiting tasks ask for, thousandths, by urgency class.
+  std::array<uint32_t, kUrgencyClasses> queued_milli_{};
 };
 
 /// Room and backlog of the workers of one owner.
 struct OwnerLoad {
   bool draining_ = false;
-  std::vector<std::string> pools_;
-  std::vector<FreeRoom> free_;       ///< Of usable workers that have any.
-  uint64_t capacity_cpu_milli_ = 0;  ///< Of all its usable workers.
-  /// Waiting tasks: cpu x expected run time, in core-milliseconds.
-  uint64_t queued_core_ms_ = 0;
-  uint32_t queued_tasks_ = 0;
+  std::vector<PoolLoad> pools_;
 };
 
 }  // namespace gentiandeal
--- a/src/run_owner.cc
+++ b/src/run_owner.cc
@@ -254,28 +254,39 @@
   return best;
 }
 
+// Tasks that can still be on time go first, the most urgent one before the
+// others; those that are late already would only make others late.
 void RunOwner::StartWaiting(Time now, OwnerOutbox* out) {
-  std::vector<Task> left;
   std::vector<Task> waiting;
   waiting.swap(queue_);
-  // Tasks that look alike fail to fit alike.
-  const AssignTasks* last_misfit = nullptr;
-  for (Task& task : waiting) {
+  const auto on_time =
+      std::find_if(waiting.begin(), waiting.end(),
+                   [&](const Task& task) { return task.start_by_ >= now; });
+  const auto late = static_cast<size_t>(on_time - waiting.begin());
+  // Tasks of one order fail to fit alike.
+  const AssignTasks* misfit = nullptr;
+  std::vector<bool> gone(waiting.size(), false);
+  for (size_t n = 0; n < waiting.size(); ++n) {
+    const size_t i = (n + late) % waiting.size();
+    Task& task = waiting[i];
     if (now >= task.give_up_) {
       ++stats_.expired_;
       Report(task, TaskEnd::kExpired, out);
+      gone[i] = true;
       continue;
     }
-    Worker* worker =
-        task.order_.get() == last_misfit ? nullptr : PickWorker(task, now);
+    if (task.order_.get() == misfit) continue;
+    Worker* worker = PickWorker(task, now);
     if (worker == nullptr) {
-      last_misfit = task.order_.get();
-      left.push_back(std::move(task));
+      misfit = task.order_.get();
       continue;
     }
+    gone[i] = true;
     Start(worker, std::move(task), now, out);
   }
-  queue_ = std::move(left);
+  for (size_t i = 0; i < waiting.size(); ++i) {
+    if (!gone[i]) queue_.push_back(std::move(waiting[i]));
+  }
   ++load_version_;
 }
 
@@ -669,29 +680,32 @@
   ++load_version_;
 }
 
-OwnerLoad RunOwner::load() const {
+OwnerLoad RunOwner::load(Time now) const {
   OwnerLoad load;
   load.draining_ = draining_;
+  const auto pool_load = [&](const std::string& pool) -> PoolLoad& {
+    for (PoolLoad& one : load.pools_) {
+      if (one.pool_ == pool) return one;
+    }
+    load.pools_.emplace_back().pool_ = pool;
+    return load.pools_.back();
+  };
   for (const auto& [id, worker] : workers_) {
-    if (!worker.confirmed_ || worker.retiring_ || worker.info_->leaving_ ||
-        worker.hold_failures_ > 0 || worker.set_asides_ > 0 ||
-        HasForeignRun(worker)) {
-      continue;
+    if (!Usable(worker, now) || worker.set_asides_ > 0) continue;
+    PoolLoad& pool = pool_load(worker.info_->pool_);
+    if (worker.free_.cpu_milli_ > 0) pool.free_.push_back(worker.free_);
+    for (const Run& run : worker.runs_) {
+      if (!run.task_) continue;
+      pool.release_milli_per_s_ += static_cast<uint64_t>(
+          run.need_.cpu_milli_ * 1000LL /
+          std::max<int64_t>(1, run.task_->order_->expected_.ms_));
     }
-    load.capacity_cpu_milli_ +=
-        static_cast<uint64_t>(worker.info_->capacity_.cpu_milli_);
-    const auto known =
-        std::find(load.pools_.begin(), load.pools_.end(), worker.info_->pool_);
-    const auto index = static_cast<uint8_t>(known - load.pools_.begin());
-    if (known == load.pools_.end()) load.pools_.push_back(worker.info_->pool_);
-    if (worker.free_.cpu_milli_ > 0)
-      load.free_.push_back({index, worker.free_});
   }
   for (const Task& task : queue_) {
-    load.queued_core_ms_ += static_cast<uint64_t>(
-        task.order_->need_.cpu_milli_ * task.order_->expected_.ms_ / 1000);
+    PoolLoad& pool = pool_load(task.order_->pool_);
+    pool.queued_milli_[UrgencyClass(task.start_by_ - now)] +=
+        static_cast<uint32_t>(task.order_->need_.cpu_milli_);
   }
-  load.queued_tasks_ = static_cast<uint32_t>(queue_.size());
   return load;
 }
 
--- a/src/run_owner.h
+++ b/src/run_owner.h
@@ -185,7 +185,7 @@
   /// before a new hold shows what runs there.
   void Resume(Time now, OwnerOutbox* out);
 
-  OwnerLoad load() const;
+  OwnerLoad load(Time now) const;
   /// Rises whenever `load` may have changed.
   uint64_t load_version() const { return load_version_; }
   const RunOwnerStats& stats() const { return stats_; }
