--- /dev/null
+++ b/tests/unit/job_desk_test.cc
@@ -0,0 +1,204 @@
+#include "job_desk.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace gentiandeal {
+namespace {
+
+constexpr Room kTask{14000, 64, 0};
+
+struct DeskFixture {
+  JobDesk desk_{{"self"}, "west"};
+  DeskOutbox out_;
+  Time now_{1000};
+  uint64_t last_request_ = 0;
+
+  DeskFixture() {
+    LeasedWorker worker;
+    worker.id_ = {"w"};
+    worker.pool_ = "pool";
+    worker.capacity_ = {32000, 131072, 0};
+    desk_.SetWorkers({{"pool", {std::make_shared<LeasedWorker>(worker)}}});
+  }
+
+  static OwnerLoad Load(std::vector<Room> free, uint64_t release = 1400000) {
+    OwnerLoad load;
+    PoolLoad& pool = load.pools_.emplace_back();
+    pool.pool_ = "pool";
+    pool.free_ = std::move(free);
+    pool.release_milli_per_s_ = release;
+    return load;
+  }
+
+  static RoomJob Job(const std::string& id, uint32_t count) {
+    RoomJob job;
+    job.id_ = id;
+    job.queue_ = "queue";
+    job.pool_ = "pool";
+    job.steps_.resize(1);
+    job.steps_[0].count_ = count;
+    job.steps_[0].need_ = kTask;
+    job.steps_[0].expected_ = {200};
+    job.objective_ = {380};
+    job.useful_within_ = {1140};
+    job.deadline_ = {1500};
+    return job;
+  }
+
+  RequestId Submit(const RoomJob& job) {
+    const RequestId request{++last_request_};
+    desk_.On(SubmitRoomJob{request, job}, now_, &out_);
+    return request;
+  }
+
+  template <typename T>
+  std::vector<T> All() const {
+    std::vector<T> all;
+    for (const DeskCommand& command : out_) {
+      if (const auto* one = std::get_if<T>(&command)) all.push_back(*one);
+    }
+    return all;
+  }
+
+  void End(const SendAssign& assign, size_t task, TaskEnd end,
+           bool started = true) {
+    desk_.On(assign.owner_, {assign.assign_.tasks_[task].serial_, end, started},
+             now_, &out_);
+  }
+
+  RoomOutcome Answer() const {
+    BOOST_REQUIRE(All<AnswerRoomJob>().size() == 1U);
+    return All<AnswerRoomJob>()[0].outcome_;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(job_desk, DeskFixture)
+
+BOOST_AUTO_TEST_CASE(AnswersOnceEveryTaskIsDone) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const auto assigns = All<SendAssign>();
+  BOOST_REQUIRE(assigns.size() == 1U);
+  End(assigns[0], 0, TaskEnd::kDone);
+  BOOST_TEST(All<AnswerRoomJob>().empty());
+  End(assigns[0], 1, TaskEnd::kDone);
+  BOOST_TEST((Answer() == RoomOutcome::kComplete));
+  BOOST_TEST(desk_.idle());
+}
+
+BOOST_AUTO_TEST_CASE(PrefersItsOwnDataCentreAndSpreadsTheRest) {
+  desk_.OwnerReports({"far"}, "east", Load({{32000, 1000, 0}}));
+  desk_.OwnerReports({"near"}, "west", Load({{15000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const auto assigns = All<SendAssign>();
+  BOOST_REQUIRE(assigns.size() == 2U);
+  BOOST_TEST(assigns[0].owner_.value_ == "far");
+  BOOST_TEST(assigns[1].owner_.value_ == "near");
+  BOOST_TEST(assigns[0].assign_.tasks_.size() == 1U);
+}
+
+// Burst beyond the room: what can't start in time is refused at once.
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatCantBeOnTime) {
+  OwnerLoad load = Load({});
+  load.pools_[0].queued_milli_[UrgencyClass({100})] = 1400000;
+  desk_.OwnerReports({"self"}, "west", load);
+  Submit(Job("a", 2));
+  BOOST_TEST((Answer() == RoomOutcome::kNotRun));
+  BOOST_TEST(All<SendAssign>().empty());
+  BOOST_TEST(All<AnswerRoomJob>()[0].retry_after_.ms_ > 0);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatFitsNoWorker) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  RoomJob job = Job("a", 1);
+  job.steps_[0].need_ = {40000, 64, 0};
+  Submit(job);
+  BOOST_TEST((Answer() == RoomOutcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(SaysNotRunOnlyWhenNoTaskBegan) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const auto assigns = All<SendAssign>();
+  End(assigns[0], 0, TaskEnd::kExpired, /*started=*/false);
+  BOOST_TEST(All<AnswerRoomJob>().empty());
+  BOOST_TEST(All<SendWithdraw>().size() == 1U);
+  End(assigns[0], 1, TaskEnd::kWithdrawn, /*started=*/false);
+  BOOST_TEST((Answer() == RoomOutcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(SaysTimedOutWhenATaskBegan) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const auto assigns = All<SendAssign>();
+  End(assigns[0], 0, TaskEnd::kExpired, /*started=*/false);
+  End(assigns[0], 1, TaskEnd::kWithdrawn, /*started=*/true);
+  BOOST_TEST((Answer() == RoomOutcome::kTimedOut));
+}
+
+BOOST_AUTO_TEST_CASE(TriesAFailedTaskAsOftenAsItsQueueAllows) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  RoomJob job = Job("a", 1);
+  job.max_failures_ = 2;
+  Submit(job);
+  End(All<SendAssign>()[0], 0, TaskEnd::kFailed);
+  BOOST_TEST(All<AnswerRoomJob>().empty());
+  BOOST_REQUIRE(All<SendAssign>().size() == 2U);
+  End(All<SendAssign>()[1], 0, TaskEnd::kFailed);
+  BOOST_TEST((Answer() == RoomOutcome::kFailed));
+}
+
+BOOST_AUTO_TEST_CASE(WithdrawsTheTasksOfACallerThatIsGone) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  const RequestId request = Submit(Job("a", 2));
+  desk_.On(CallerGone{request}, now_, &out_);
+  BOOST_REQUIRE(All<SendWithdraw>().size() == 1U);
+  BOOST_TEST(All<SendWithdraw>()[0].withdraw_.tasks_.size() == 2U);
+  BOOST_TEST(desk_.idle());
+}
+
+// A lost owner may run on until its leases end, so its tasks go nowhere else.
+BOOST_AUTO_TEST_CASE(GivesUpJobsOfALostOwner) {
+  desk_.OwnerReports({"near"}, "west", Load({{32000, 1000, 0}}));
+  desk_.OwnerReports({"far"}, "east", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1));
+  desk_.OwnerLost({"near"}, now_, &out_);
+  BOOST_TEST((Answer() == RoomOutcome::kInterrupted));
+  BOOST_TEST(All<SendAssign>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(JoinsAJobThatIsSentAgainWhileItRuns) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1));
+  const RequestId again = Submit(Job("a", 1));
+  BOOST_TEST(All<SendAssign>().size() == 1U);
+  End(All<SendAssign>()[0], 0, TaskEnd::kDone);
+  BOOST_TEST((Answer() == RoomOutcome::kComplete));
+  BOOST_TEST((All<AnswerRoomJob>()[0].request_ == again));
+}
+
+BOOST_AUTO_TEST_CASE(StartsAStepOnlyAfterThoseBeforeIt) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  RoomJob job = Job("a", 1);
+  job.steps_.push_back(job.steps_[0]);
+  job.steps_[1].after_ = {0};
+  Submit(job);
+  BOOST_REQUIRE(All<SendAssign>().size() == 1U);
+  End(All<SendAssign>()[0], 0, TaskEnd::kDone);
+  BOOST_REQUIRE(All<SendAssign>().size() == 2U);
+  BOOST_TEST(All<SendAssign>()[1].assign_.name_ == "a.0.1");
+}
+
+BOOST_AUTO_TEST_CASE(StopsAtTheCallersDeadline) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1));
+  now_ = now_ + Duration{1500};
+  desk_.Tick(now_, &out_);
+  BOOST_TEST((Answer() == RoomOutcome::kTimedOut));
+  BOOST_TEST(All<SendWithdraw>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace gentiandeal
