Give waiting tasks to owners with room; refuse jobs soon after they are late

Owners now give waiting tasks back that fit elsewhere; the desk places them again. A job of which nothing has begun is refused when late by half its slack. An order without an answer is looked for in the next list before it is stopped; one lost answer to a hold no longer closes a worker. The expected wait counts the speed of workers.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -370,6 +370,9 @@
       desk_.SetWorkers(std::move(pools));
     }
     owner_.Tick(now, &owner_out_);
+    if (owner_.waiting() > 0) {
+      owner_.GiveBack(desk_.RoomsElsewhere(), now, &owner_out_);
+    }
     RefreshOwnLoad();
     desk_.Tick(now, &desk_out_);
     claims_.Tick(
--- a/src/job_desk.cc
+++ b/src/job_desk.cc
@@ -176,7 +176,8 @@
       Place(id, &job, step, index, now, &placed);
     }
   }
-  for (auto& [where, assign] : placed) {
+  for (auto& [where, assign] : placed.assigns_) {
+    assign.begun_ = placed.any_room_ || job.started_;
     out->push_back(SendAssign{{where.first}, std::move(assign)});
   }
   if (job.assigned_ == 0) GiveUp(id, "no-workers", out);
@@ -195,11 +196,12 @@
   const auto cpu = static_cast<uint32_t>(kind.need_.cpu_milli_);
   if (room != nullptr) {
     *room -= kind.need_;
+    placed->any_room_ = true;
     load->release_milli_per_s_ += cpu * 1000ULL / kind.expected_.ms_;
   } else {
     load->queued_milli_[UrgencyClass(Slack(spec))] += cpu;
   }
-  AssignTasks& assign = (*placed)[{name, step}];
+  AssignTasks& assign = placed->assigns_[{name, step}];
   if (assign.tasks_.empty()) {
     const Duration age = now - job->accepted_;
     assign.name_ = spec.id_ + ".0." + std::to_string(step);
@@ -253,17 +255,38 @@
       Withdraw(&job, out);
       return Finish(ref.job_, RoomOutcome::kInterrupted, "worker-lost", out);
     case TaskEnd::kExpired:
+      // What has begun goes on while its answer is of use.
+      if (job.started_ && now < UsefulUntil(job)) break;
       return GiveUp(ref.job_, "too-late", out);
     case TaskEnd::kWithdrawn:
     case TaskEnd::kLost:
+      ++task.moves_;
+      break;
     case TaskEnd::kRefused:
       break;
   }
-  if (++task.moves_ > kMaxMoves) return GiveUp(ref.job_, "moved-often", out);
+  if (task.moves_ > kMaxMoves) return GiveUp(ref.job_, "moved-often", out);
   ++stats_.tasks_moved_;
   PlaceReady(ref.job_, now, out);
 }
 
+Time JobDesk::UsefulUntil(const Job& job) {
+  const Duration within =
+      std::min(job.spec_->useful_within_, job.spec_->deadline_);
+  return job.accepted_ + within - LongestChain(*job.spec_);
+}
+
+std::vector<PoolLoad> JobDesk::RoomsElsewhere() const {
+  std::vector<PoolLoad> rooms;
+  for (const auto& [name, owner] : owners_) {
+    if (name == self_.value_ || owner.load_.draining_) continue;
+    for (const PoolLoad& load : owner.load_.pools_) {
+      if (!load.free_.empty()) rooms.push_back(load);
+    }
+  }
+  return rooms;
+}
+
 void JobDesk::Withdraw(Job* job, DeskOutbox* out) {
   std::map<std::string, WithdrawTasks> by_owner;
   for (auto& step : job->steps_) {
@@ -301,8 +324,8 @@
   Job& job = found->second;
   for (const auto& step : job.steps_) {
     for (const DeskTask& task : step) {
-      if (task.state_ == TaskState::kAssigned)
-        tasks_.erase(task.serial_.value_);
+      if (task.state_ != TaskState::kAssigned) continue;
+      tasks_.erase(task.serial_.value_);
     }
   }
   switch (outcome) {
--- a/src/job_desk.h
+++ b/src/job_desk.h
@@ -113,6 +113,9 @@
   /// The process stood still: callers and owners have moved on.
   void Resume(Time now, DeskOutbox* out);
 
+  /// Free rooms of all other owners, as last reported.
+  std::vector<PoolLoad> RoomsElsewhere() const;
+
   bool idle() const { return jobs_.empty(); }
   size_t open_jobs() const { return jobs_.size(); }
   const JobDeskStats& stats() const { return stats_; }
@@ -151,7 +154,11 @@
     OwnerLoad load_;
   };
 
-  using Placed = std::map<std::pair<std::string, uint32_t>, AssignTasks>;
+  /// Tasks placed in one go, by owner and step.
+  struct Placed {
+    std::map<std::pair<std::string, uint32_t>, AssignTasks> assigns_;
+    bool any_room_ = false;  ///< Whether a task goes to a free room.
+  };
 
   bool FitsSomewhere(const RoomJob& job) const;
   std::vector<const PoolLoad*> PoolLoads(const std::string& pool) const;
@@ -160,6 +167,7 @@
   void PlaceReady(uint64_t id, Time now, DeskOutbox* out);
   void Place(uint64_t id, Job* job, uint32_t step, uint32_t index, Time now,
              Placed* placed);
+  static Time UsefulUntil(const Job& job);
   void Withdraw(Job* job, DeskOutbox* out);
   void Refuse(RequestId request, std::string_view reason, Duration retry_after,
               DeskOutbox* out);
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -59,6 +59,7 @@
   Fields(archive, assign.expected_);
   Fields(archive, assign.start_within_);
   Fields(archive, assign.give_up_);
+  Fields(archive, assign.begun_);
   List(archive, assign.tasks_, config::kMaxRoomTasks, uint32_t{0});
 }
 
--- a/src/room.h
+++ b/src/room.h
@@ -103,6 +103,7 @@
   Duration expected_;      ///< Run time on an average worker, estimated.
   Duration start_within_;  ///< To meet the job's latency objective.
   Duration give_up_;       ///< After this a start would be useless.
+  bool begun_ = false;     ///< Other tasks of the job have begun, or will.
   std::vector<AssignedTask> tasks_;
 };
 
--- a/src/room_wait.cc
+++ b/src/room_wait.cc
@@ -55,7 +55,8 @@
   const uint64_t own = static_cast<uint64_t>(request.need_.cpu_milli_) *
                        (request.count_ - fitting);
   if (release == 0) return kUnknownWait;
-  return {static_cast<int64_t>((ahead + own) * 1000 / release)};
+  return {static_cast<int64_t>(static_cast<double>(ahead + own) * 1000 /
+                               static_cast<double>(release) / kPackingShare)};
 }
 
 }  // namespace gentiandeal
--- a/src/room_wait.h
+++ b/src/room_wait.h
@@ -6,6 +6,10 @@
 /// How long tasks wait for room, as far as reports of owners tell. Pure.
 namespace gentiandeal {
 
+/// Share of the cores given back that tasks fit into: two or three fit a
+/// worker, and the rest is too small for another.
+inline constexpr double kPackingShare = 0.85;
+
 /// Tasks alike that are to be placed at once.
 struct RoomRequest {
   uint32_t count_ = 1;
--- a/src/run_owner.cc
+++ b/src/run_owner.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "room_wait.h"
+
 namespace gentiandeal {
 namespace {
 
@@ -18,6 +20,13 @@
 /// A run that is being stopped may be listed neither as running nor as ended
 /// for the workers' stop timeout; one that is missing after this is gone.
 constexpr Duration kStopSettle{150};
+/// Holds in a row without an answer after which a worker is left alone.
+constexpr uint32_t kHoldFailuresToDoubt = 2;
+/// A job that nothing of has begun is refused when it is late by this share of
+/// its slack; until then, its tasks use rooms that nobody else waits for.
+constexpr double kLateShare = 0.5;
+/// Tasks given back to their desks at a time.
+constexpr size_t kMaxGivenBack = 8;
 /// A run that takes longer than its expected time by this factor, and this
 /// much, is looked at out of turn.
 constexpr double kOverdueFactor = 1.7;
@@ -76,8 +85,8 @@
 
 bool RunOwner::Usable(const Worker& worker, Time now) const {
   return worker.confirmed_ && !worker.retiring_ && !worker.info_->leaving_ &&
-         worker.hold_failures_ == 0 && now >= worker.aside_until_ &&
-         !HasForeignRun(worker);
+         worker.hold_failures_ < kHoldFailuresToDoubt &&
+         now >= worker.aside_until_ && !HasForeignRun(worker);
 }
 
 void RunOwner::Own(const LeasedWorker& worker, Fence fence, Time now,
@@ -151,17 +160,22 @@
 
 void RunOwner::On(SessionId session, const AssignTasks& assign, Time now,
                   OwnerOutbox* out) {
-  const auto order = std::make_shared<const AssignTasks>(assign);
-  const auto payload = std::make_shared<const std::string>(order->payload_);
-  for (const AssignedTask& assigned : order->tasks_) {
+  const auto order = std::make_shared<Order>();
+  order->assign_ = assign;
+  order->payload_ = std::make_shared<const std::string>(assign.payload_);
+  order->begun_ = assign.begun_;
+  order->start_by_ = now + assign.start_within_;
+  order->give_up_ = now + assign.give_up_;
+  const Duration grace{static_cast<int64_t>(
+      kLateShare *
+      static_cast<double>(std::max<int64_t>(0, assign.start_within_.ms_)))};
+  order->late_start_by_ = std::min(order->give_up_, order->start_by_ + grace);
+  for (const AssignedTask& assigned : assign.tasks_) {
     Task task;
     task.session_ = session;
     task.serial_ = assigned.serial_;
-    task.name_ = order->name_ + "." + std::to_string(assigned.index_);
+    task.name_ = assign.name_ + "." + std::to_string(assigned.index_);
     task.order_ = order;
-    task.payload_ = payload;
-    task.start_by_ = now + order->start_within_;
-    task.give_up_ = now + order->give_up_;
     if (draining_ || queue_.size() >= kMaxWaiting) {
       Report(task, TaskEnd::kRefused, out);
       continue;
@@ -214,16 +228,20 @@
 }
 
 void RunOwner::Enqueue(Task task) {
-  const auto place = std::upper_bound(
-      queue_.begin(), queue_.end(), task.start_by_,
-      [](Time time, const Task& other) { return time < other.start_by_; });
+  const auto place =
+      std::upper_bound(queue_.begin(), queue_.end(), task.order_->start_by_,
+                       [](Time time, const Task& other) {
+                         return time < other.order_->start_by_;
+                       });
   queue_.insert(place, std::move(task));
   ++load_version_;
 }
 
 void RunOwner::Requeue(Task task, const Worker& worker, Time now,
                        OwnerOutbox* out) {
-  if (now >= task.give_up_) return Report(task, TaskEnd::kExpired, out);
+  if (now >= task.order_->give_up_) {
+    return Report(task, TaskEnd::kExpired, out);
+  }
   if (draining_) return Report(task, TaskEnd::kLost, out);
   task.avoid_ = worker.info_->id_.value_;
   Enqueue(std::move(task));
@@ -236,7 +254,7 @@
 RunOwner::Worker* RunOwner::PickWorker(const Task& task, Time now) {
   Worker* best = nullptr;
   double best_score = 0;
-  const AssignTasks& order = *task.order_;
+  const AssignTasks& order = task.order_->assign_;
   for (auto& [id, worker] : workers_) {
     if (!Usable(worker, now) || !Fits(order.need_, worker.free_)) continue;
     if (worker.info_->pool_ != order.pool_) continue;
@@ -254,40 +272,82 @@
   return best;
 }
 
-// Tasks that can still be on time go first, the most urgent one before the
-// others; those that are late already would only make others late.
+// Tasks that can be on time go first, the most urgent one before the others.
+// Late ones only take room that none of these fits into: first those whose job
+// has begun, so that its work is not lost.
 void RunOwner::StartWaiting(Time now, OwnerOutbox* out) {
+  ExpireWaiting(now, out);
+  if (queue_.empty()) return;
+  StartPass([now](const Order& order) { return order.start_by_ >= now; }, now,
+            out);
+  StartPass([](const Order& order) { return order.begun_; }, now, out);
+  StartPass([](const Order&) { return true; }, now, out);
+  ++load_version_;
+}
+
+void RunOwner::ExpireWaiting(Time now, OwnerOutbox* out) {
+  const auto expired = [now](const Task& task) {
+    const Order& order = *task.order_;
+    return now >= (order.begun_ ? order.give_up_ : order.late_start_by_);
+  };
+  const auto first =
+      std::stable_partition(queue_.begin(), queue_.end(),
+                            [&](const Task& task) { return !expired(task); });
+  for (auto task = first; task != queue_.end(); ++task) {
+    ++stats_.expired_;
+    Report(*task, TaskEnd::kExpired, out);
+  }
+  queue_.erase(first, queue_.end());
+}
+
+template <typename Wanted>
+void RunOwner::StartPass(const Wanted& wanted, Time now, OwnerOutbox* out) {
+  // Tasks of one order fail to fit alike.
+  const Order* misfit = nullptr;
+  std::vector<Task> left;
   std::vector<Task> waiting;
   waiting.swap(queue_);
-  const auto on_time =
-      std::find_if(waiting.begin(), waiting.end(),
-                   [&](const Task& task) { return task.start_by_ >= now; });
-  const auto late = static_cast<size_t>(on_time - waiting.begin());
-  // Tasks of one order fail to fit alike.
-  const AssignTasks* misfit = nullptr;
-  std::vector<bool> gone(waiting.size(), false);
-  for (size_t n = 0; n < waiting.size(); ++n) {
-    const size_t i = (n + late) % waiting.size();
-    Task& task = waiting[i];
-    if (now >= task.give_up_) {
-      ++stats_.expired_;
-      Report(task, TaskEnd::kExpired, out);
-      gone[i] = true;
-      continue;
+  for (Task& task : waiting) {
+    Worker* worker = nullptr;
+    if (task.order_.get() != misfit && wanted(*task.order_)) {
+      worker = PickWorker(task, now);
+      if (worker == nullptr) misfit = task.order_.get();
     }
-    if (task.order_.get() == misfit) continue;
-    Worker* worker = PickWorker(task, now);
     if (worker == nullptr) {
-      misfit = task.order_.get();
-      continue;
+      left.push_back(std::move(task));
+    } else {
+      Start(worker, std::move(task), now, out);
     }
-    gone[i] = true;
-    Start(worker, std::move(task), now, out);
   }
-  for (size_t i = 0; i < waiting.size(); ++i) {
-    if (!gone[i]) queue_.push_back(std::move(waiting[i]));
+  queue_ = std::move(left);
+}
+
+void RunOwner::GiveBack(std::vector<PoolLoad> elsewhere, Time now,
+                        OwnerOutbox* out) {
+  size_t given = 0;
+  const auto fits_elsewhere = [&](const Task& task) {
+    const AssignTasks& assign = task.order_->assign_;
+    if (given >= kMaxGivenBack || now >= task.order_->late_start_by_) {
+      return false;
+    }
+    for (PoolLoad& load : elsewhere) {
+      if (load.pool_ != assign.pool_) continue;
+      Room* room = TightestRoom(&load.free_, assign.need_);
+      if (room == nullptr) continue;
+      *room -= assign.need_;
+      ++given;
+      return true;
+    }
+    return false;
+  };
+  const auto first = std::stable_partition(
+      queue_.begin(), queue_.end(),
+      [&](const Task& task) { return !fits_elsewhere(task); });
+  for (auto task = first; task != queue_.end(); ++task) {
+    Report(*task, TaskEnd::kRefused, out);
   }
-  ++load_version_;
+  if (first != queue_.end()) ++load_version_;
+  queue_.erase(first, queue_.end());
 }
 
 void RunOwner::Start(Worker* worker, Task task, Time now, OwnerOutbox* out) {
@@ -295,7 +355,8 @@
   run.key_ = ++last_run_;
   run.name_ = task.name_;
   run.number_ = ++task.runs_;
-  run.need_ = task.order_->need_;
+  run.need_ = task.order_->assign_.need_;
+  task.order_->begun_ = true;
   run.sent_at_ = now;
   run.late_after_ms_ = LeaseEnd(*worker, now);
   worker->free_ -= run.need_;
@@ -306,7 +367,7 @@
   start.worker_ = worker->info_;
   start.task_ = run.name_;
   start.run_ = run.number_;
-  start.payload_ = task.payload_;
+  start.payload_ = task.order_->payload_;
   start.fence_ = worker->fence_;
   start.lease_until_ms_ = run.late_after_ms_;
   run.task_ = std::move(task);
@@ -401,7 +462,7 @@
   if (ended.result_ == StartResult::kUnanswered) {
     ++stats_.starts_unanswered_;
     if (run.task_) run.task_->started_ = true;
-    BeginStop(worker, &run, now, out);
+    run.doubtful_since_ = now;
     SendHold(worker, /*renew=*/true, now, out);
     return;
   }
@@ -509,18 +570,21 @@
   worker->last_seen_ = seen;
 }
 
+void RunOwner::NoteSpeed(Worker* worker, const Run& run, Time now) {
+  if (!run.task_) return;
+  const double took = static_cast<double>((now - run.sent_at_).ms_);
+  const double expected = std::max(
+      1.0, static_cast<double>(run.task_->order_->assign_.expected_.ms_));
+  const double ratio = std::min(took / expected, 8.0);
+  worker->slowness_ += kSlownessWeight * (ratio - worker->slowness_);
+}
+
 void RunOwner::EndRun(Worker* worker, const Run& run, RunEnd end, Time now,
                       OwnerOutbox* out) {
   if (end == RunEnd::kDone) {
     ++stats_.done_;
     worker->failures_ = worker->set_asides_ = 0;
-    if (run.task_) {
-      const double took = static_cast<double>((now - run.sent_at_).ms_);
-      const double expected =
-          std::max(1.0, static_cast<double>(run.task_->order_->expected_.ms_));
-      worker->slowness_ += kSlownessWeight *
-                           (std::min(took / expected, 8.0) - worker->slowness_);
-    }
+    NoteSpeed(worker, run, now);
   } else if (end == RunEnd::kFailed) {
     ++stats_.failed_;
     if (++worker->failures_ >= kFailuresToSetAside) SetAside(worker, now);
@@ -547,12 +611,18 @@
     if (found != listed.end()) {
       if (!run.settled_) run.settled_ = now + kStopSettle;
       run.answered_ = true;
+      run.doubtful_since_.reset();
       if (run.task_) run.task_->started_ = true;
       if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
       CheckProgress(worker, &run, found->second, now, out);
       listed.erase(found);
       continue;
     }
+    if (run.doubtful_since_ && sent >= *run.doubtful_since_) {
+      // The order was lost or comes late; a stop keeps it from beginning.
+      run.doubtful_since_.reset();
+      BeginStop(worker, &run, now, out);
+    }
     const bool settled = run.settled_ && sent >= *run.settled_;
     const bool too_late = !run.answered_ && run.late_after_ms_ > 0 &&
                           ended.clock_ms_ > run.late_after_ms_ &&
@@ -587,15 +657,16 @@
   if (run->state_ != RunState::kRunning || !run->task_) return;
   const double elapsed = static_cast<double>((now - run->sent_at_).ms_);
   const double expected =
-      static_cast<double>(run->task_->order_->expected_.ms_);
+      static_cast<double>(run->task_->order_->assign_.expected_.ms_);
   if (elapsed < kMinProgressAge.ms_ ||
       elapsed < kOverdueFactor * expected / 2) {
     return;
   }
   const double left = elapsed * (100 - percent) / std::max(percent, 0.5);
   if (left < kMoveFactor * expected + kMoveSlack.ms_) return;
-  if (now >= run->task_->give_up_) return;
+  if (now >= run->task_->order_->give_up_) return;
   ++stats_.stalled_;
+
   if (now >= worker->aside_until_) SetAside(worker, now);
   BeginStop(worker, run, now, out);
 }
@@ -633,7 +704,8 @@
     if (now >= worker.hold_again_) {
       if (worker.hold_failures_ > 0 || !worker.confirmed_) {
         SendHold(&worker, /*renew=*/true, now, out);
-      } else if (!worker.hold_open_) {
+      }
+      if (!worker.hold_open_) {
         SendHold(&worker, /*renew=*/false, now, out);
       }
     }
@@ -652,7 +724,7 @@
       const auto overdue =
           static_cast<int64_t>(
               kOverdueFactor *
-              static_cast<double>(run.task_->order_->expected_.ms_)) +
+              static_cast<double>(run.task_->order_->assign_.expected_.ms_)) +
           kOverdueSlack.ms_;
       look = look || ((now - run.sent_at_).ms_ > overdue &&
                       now - worker.looked_at_ > kLookInterval);
@@ -691,20 +763,29 @@
     return load.pools_.back();
   };
   for (const auto& [id, worker] : workers_) {
-    if (!Usable(worker, now) || worker.set_asides_ > 0) continue;
+    if (!worker.confirmed_ || worker.retiring_ || worker.info_->leaving_ ||
+        worker.hold_failures_ >= kHoldFailuresToDoubt ||
+        worker.set_asides_ > 0 || HasForeignRun(worker)) {
+      continue;
+    }
     PoolLoad& pool = pool_load(worker.info_->pool_);
     if (worker.free_.cpu_milli_ > 0) pool.free_.push_back(worker.free_);
     for (const Run& run : worker.runs_) {
       if (!run.task_) continue;
+      const int64_t takes = std::max(
+          static_cast<int64_t>(
+              static_cast<double>(run.task_->order_->assign_.expected_.ms_) *
+              worker.slowness_),
+          (now - run.sent_at_).ms_);
       pool.release_milli_per_s_ += static_cast<uint64_t>(
-          run.need_.cpu_milli_ * 1000LL /
-          std::max<int64_t>(1, run.task_->order_->expected_.ms_));
+          run.need_.cpu_milli_ * 1000LL / std::max<int64_t>(1, takes));
     }
   }
   for (const Task& task : queue_) {
-    PoolLoad& pool = pool_load(task.order_->pool_);
-    pool.queued_milli_[UrgencyClass(task.start_by_ - now)] +=
-        static_cast<uint32_t>(task.order_->need_.cpu_milli_);
+    const Order& order = *task.order_;
+    const Duration slack = order.start_by_ - now;
+    pool_load(order.assign_.pool_).queued_milli_[UrgencyClass(slack)] +=
+        static_cast<uint32_t>(order.assign_.need_.cpu_milli_);
   }
   return load;
 }
--- a/src/run_owner.h
+++ b/src/run_owner.h
@@ -166,6 +166,8 @@
   void Drain(OwnerOutbox* out);
   /// Whether nothing waits or runs.
   bool idle() const;
+  /// Tasks without a worker.
+  size_t waiting() const { return queue_.size(); }
 
   void On(SessionId session, const AssignTasks& assign, Time now,
           OwnerOutbox* out);
@@ -178,6 +180,10 @@
   void On(const StopEnded& ended, Time now, OwnerOutbox* out);
   void On(const HoldEnded& ended, Time now, OwnerOutbox* out);
 
+  /// Gives waiting tasks back that fit into rooms of other owners, so that
+  /// they can be assigned there.
+  void GiveBack(std::vector<PoolLoad> elsewhere, Time now, OwnerOutbox* out);
+
   /// Renews leases, repeats holds and stops, drops tasks that came too late.
   void Tick(Time now, OwnerOutbox* out);
 
@@ -191,15 +197,22 @@
   const RunOwnerStats& stats() const { return stats_; }
 
  private:
+  /// Tasks that came together.
+  struct Order {
+    AssignTasks assign_;
+    std::shared_ptr<const std::string> payload_;
+    Time start_by_;       ///< To be on time.
+    Time late_start_by_;  ///< Refused after this unless a task has begun.
+    Time give_up_;        ///< A start after this would be useless.
+    bool begun_ = false;  ///< Whether a task of the job has begun.
+  };
+
   /// One task taken by this owner.
   struct Task {
     SessionId session_;
     TaskSerial serial_;
     std::string name_;
-    std::shared_ptr<const AssignTasks> order_;
-    std::shared_ptr<const std::string> payload_;
-    Time start_by_;
-    Time give_up_;
+    std::shared_ptr<Order> order_;
     bool started_ = false;
     uint32_t runs_ = 0;
     std::string avoid_;  ///< Worker that lost or stalled it last.
@@ -219,6 +232,8 @@
     RunState state_ = RunState::kStarting;
     std::optional<Task> task_;  ///< Absent when nobody waits for its end.
     Time sent_at_;
+    /// When its start was left without an answer; the next list tells.
+    std::optional<Time> doubtful_since_;
     int64_t late_after_ms_ = 0;  ///< On the worker's clock: too late to begin.
     bool foreign_ = false;       ///< Started by another owner.
     bool answered_ = false;      ///< The start was answered, or was listed.
@@ -271,6 +286,9 @@
   void SendHold(Worker* worker, bool renew, Time now, OwnerOutbox* out);
   void SendStop(Worker* worker, Run* run, Time now, OwnerOutbox* out);
   void StartWaiting(Time now, OwnerOutbox* out);
+  template <typename Wanted>
+  void StartPass(const Wanted& wanted, Time now, OwnerOutbox* out);
+  void ExpireWaiting(Time now, OwnerOutbox* out);
   Worker* PickWorker(const Task& task, Time now);
   void Start(Worker* worker, Task task, Time now, OwnerOutbox* out);
   void Enqueue(Task task);
@@ -288,6 +306,7 @@
                      OwnerOutbox* out);
   void DropRuns(Worker* worker, bool provably_over, Time now, OwnerOutbox* out);
   void SetAside(Worker* worker, Time now);
+  void NoteSpeed(Worker* worker, const Run& run, Time now);
   void Lose(const std::string& id, std::string_view reason, Time now,
             OwnerOutbox* out);
 
