Prove hosted instances on a stand-in of the users' platform

The stand-in plays the store (revisions, transactions, leases, watches) and workers (room, fences, leases, late orders) and counts overbooked rooms, tasks that run twice and stale orders. The server and the client set TCP_NODELAY; a request may name its own Host.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <strings.h>
@@ -8,6 +9,8 @@
 #include <memory>
 #include <utility>
 
+#include "socket_address.h"
+
 namespace gentiandeal {
 namespace {
 
@@ -30,10 +33,12 @@
 void FillRequest(const Address& to, const HttpRequest& from,
                  evhttp_request* request) {
   evkeyvalq* fields = evhttp_request_get_output_headers(request);
-  evhttp_add_header(fields, "Host", ToString(to).c_str());
   for (const auto& [name, value] : from.fields_) {
     evhttp_add_header(fields, name.c_str(), value.c_str());
   }
+  if (evhttp_find_header(fields, "Host") == nullptr) {
+    evhttp_add_header(fields, "Host", ToString(to).c_str());
+  }
   evbuffer_add(evhttp_request_get_output_buffer(request), from.body_.data(),
                from.body_.size());
 }
@@ -139,6 +144,9 @@
   if (MayReuse(response)) {
     // The library would close an idle connection after the last timeout.
     evhttp_connection_set_timeout_tv(exchange->connection_, &kIdleTimeout);
+    // Later requests on it must not wait for the acknowledgement of this one.
+    SetLinkOptions(bufferevent_getfd(
+        evhttp_connection_get_bufferevent(exchange->connection_)));
     self->idle_[exchange->to_].push_back(exchange->connection_);
   } else {
     self->FreeLater(exchange->connection_);
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -52,6 +52,7 @@
  public:
   Impl(event_base* base, HttpServerEvents events)
       : base_(base), events_(std::move(events)), htp_(evhtp_new(base, this)) {
+    evhtp_enable_flag(htp_, EVHTP_FLAG_ENABLE_NODELAY);
     evhtp_set_gencb(htp_, &OnRequest, this);
     evhtp_set_post_accept_cb(htp_, &OnAccept, this);
     evhtp_set_parser_flags(htp_, EVHTP_PARSE_QUERY_FLAG_LENIENT);
--- /dev/null
+++ b/tests/standins/hosted.cc
@@ -0,0 +1,551 @@
+#include <csignal>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "http_server.h"
+#include "standin.h"
+#include "store_follower.h"
+
+/// Stand-in for the users' platform: its store and a number of workers, as
+/// its published protocol tells. Counts what an instance must never cause.
+/// Faults are set by `PUT /standin/faults` on the control port.
+namespace gentiandeal::standin {
+namespace {
+
+using Json = nlohmann::json;
+
+struct Options {
+  uint32_t workers_ = 4;
+  int32_t cpu_milli_ = 32000;
+};
+
+/// Faults in force; each request to set them replaces them all.
+struct Faults {
+  bool store_down_ = false;  ///< The store answers 503.
+  double silent_share_ = 0;  ///< Starts that get no answer,
+  int64_t late_ms_ = 0;      ///< and are carried out so much later.
+};
+
+/// What was seen; the last four must stay 0.
+struct Counts {
+  int starts_ = 0;
+  int done_ = 0;
+  int lapsed_ = 0;
+  int overbooked_ = 0;  ///< Starts beyond a worker's room.
+  int twice_ = 0;       ///< Starts of a task that runs elsewhere.
+  int stale_ = 0;       ///< Orders with a fence below the highest one seen.
+  int after_done_ = 0;  ///< Starts of a task that had ended well.
+};
+
+struct World {
+  event_base* base_ = nullptr;
+  Faults faults_;
+  Counts counts_;
+  std::map<std::string, int> running_;  ///< By task, over all workers.
+  std::map<std::string, int> done_;
+  std::mt19937_64 random_{1};
+  MonotonicClock clock_;
+};
+
+HttpReply JsonReply(int status, const Json& body) {
+  HttpReply reply;
+  reply.status_ = status;
+  reply.fields_.emplace_back("Content-Type", "application/json");
+  reply.body_ = body.dump();
+  return reply;
+}
+
+/// Calls back once after a while.
+void After(event_base* base, int64_t ms, std::function<void()> call) {
+  auto* held = new std::function<void()>(std::move(call));
+  const timeval wait = ToTimeval(ms);
+  event_base_once(
+      base, -1, EV_TIMEOUT,
+      [](evutil_socket_t, int16_t, void* arg) {
+        const std::unique_ptr<std::function<void()>> once(
+            static_cast<std::function<void()>*>(arg));
+        (*once)();
+      },
+      held, &wait);
+}
+
+std::map<std::string, std::string> ParseQuery(const std::string& path) {
+  std::map<std::string, std::string> query;
+  const size_t mark = path.find('?');
+  if (mark == std::string::npos) return query;
+  std::istringstream text(path.substr(mark + 1));
+  for (std::string pair; std::getline(text, pair, '&');) {
+    const size_t equals = pair.find('=');
+    if (equals == std::string::npos) continue;
+    query[pair.substr(0, equals)] = pair.substr(equals + 1);
+  }
+  return query;
+}
+
+class Store {
+ public:
+  explicit Store(World* world)
+      : world_(world), server_(world->base_, MakeEvents()) {}
+
+  Address Start() {
+    server_.Listen({"127.0.0.1", 0});
+    return server_.address();
+  }
+
+  void Put(const std::string& key, const std::string& value,
+           uint64_t lease = 0) {
+    Item& item = items_[key];
+    item = {platform::EncodeBase64(value), ++revision_, lease};
+    history_[revision_] = key;
+    Notify();
+  }
+
+ private:
+  struct Item {
+    std::string value_;
+    uint64_t revision_ = 0;
+    uint64_t lease_ = 0;
+  };
+  struct Watch {
+    RequestId request_;
+    std::string prefix_;
+    uint64_t after_ = 0;
+  };
+
+  HttpServerEvents MakeEvents() {
+    HttpServerEvents events;
+    events.request_ = [this](RequestId id, const CallerRequest& read) {
+      Handle(id, read);
+    };
+    events.gone_ = [this](RequestId id) {
+      watches_.remove_if([&](const Watch& one) { return one.request_ == id; });
+    };
+    return events;
+  }
+
+  static Json ToJson(const std::string& key, const Item& item) {
+    return {{"key", key},
+            {"value", item.value_},
+            {"rev", item.revision_},
+            {"created", item.revision_},
+            {"lease", item.lease_}};
+  }
+
+  static bool Under(const std::string& key, const std::string& prefix) {
+    return key.compare(0, prefix.size(), prefix) == 0;
+  }
+
+  void Handle(RequestId id, const CallerRequest& read) {
+    if (world_->faults_.store_down_) return Reply(id, 503, Json::object());
+    auto query = ParseQuery(read.path_);
+    const std::string path = read.path_.substr(0, read.path_.find('?'));
+    const Json body = Json::parse(read.body_, nullptr, false);
+    if (path == "/-/kv-range") return Range(id, query["prefix"]);
+    if (path == "/-/kv-key") return Key(id, query["key"]);
+    if (path == "/-/kv-watch") {
+      watches_.push_back({id, query["prefix"], std::stoull(query["after"])});
+      Notify();
+      return After(world_->base_, std::stoll(query["wait_ms"]),
+                   [this, id] { EndWatch(id); });
+    }
+    if (path == "/-/kv-txn") return Transaction(id, body);
+    if (path == "/-/kv-lease") {
+      leases_[++last_lease_] = {world_->clock_.Now(),
+                                {body.at("ttl_ms").get<int64_t>()}};
+      Expire(last_lease_);
+      return Reply(id, 200,
+                   {{"lease", last_lease_}, {"ttl_ms", body["ttl_ms"]}});
+    }
+    const uint64_t lease =
+        std::strtoull(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
+    if (leases_.count(lease) == 0) return Reply(id, 404, Json::object());
+    if (read.method_ == "DELETE") {
+      leases_.erase(lease);
+      DropLeased(lease);
+    } else {
+      leases_[lease].first = world_->clock_.Now();
+    }
+    Reply(id, 200, Json::object());
+  }
+
+  void Reply(RequestId id, int status, const Json& body) {
+    server_.Reply(id, JsonReply(status, body));
+  }
+
+  void Range(RequestId id, const std::string& prefix) {
+    Json items = Json::array();
+    for (const auto& [key, item] : items_) {
+      if (Under(key, prefix)) items.push_back(ToJson(key, item));
+    }
+    Reply(
+        id, 200,
+        {{"items", items}, {"more_pages", false}, {"current_rev", revision_}});
+  }
+
+  void Key(RequestId id, const std::string& key) {
+    const auto found = items_.find(key);
+    if (found == items_.end()) return Reply(id, 404, Json::object());
+    Json json = ToJson(key, found->second);
+    json["current_rev"] = revision_;
+    Reply(id, 200, json);
+  }
+
+  void Transaction(RequestId id, const Json& body) {
+    for (const Json& row : body.at("expect")) {
+      const auto found = items_.find(row.at("key").get<std::string>());
+      const uint64_t revision =
+          found == items_.end() ? 0 : found->second.revision_;
+      if (revision != row.at("rev").get<uint64_t>()) {
+        return Reply(id, 412, {{"items", Json::array()}});
+      }
+    }
+    for (const Json& row : body.at("set_keys")) {
+      const auto lease = row.value("lease", uint64_t{0});
+      if (lease != 0 && leases_.count(lease) == 0) {
+        return Reply(id, 404, Json::object());
+      }
+      std::string value;
+      platform::DecodeBase64(row.at("value").get<std::string>(), &value);
+      Put(row.at("key").get<std::string>(), value, lease);
+    }
+    Reply(id, 200, {{"rev", revision_}});
+  }
+
+  void Expire(uint64_t lease) {
+    const auto found = leases_.find(lease);
+    if (found == leases_.end()) return;
+    const auto& [since, length] = found->second;
+    const Duration left = since + length - world_->clock_.Now();
+    if (left.ms_ > 0 || world_->faults_.store_down_) {
+      return After(world_->base_, std::max<int64_t>(left.ms_, 50),
+                   [this, lease] { Expire(lease); });
+    }
+    leases_.erase(found);
+    DropLeased(lease);
+  }
+
+  void DropLeased(uint64_t lease) {
+    for (auto item = items_.begin(); item != items_.end();) {
+      if (item->second.lease_ != lease) {
+        ++item;
+        continue;
+      }
+      history_[++revision_] = item->first;
+      item = items_.erase(item);
+    }
+    Notify();
+  }
+
+  Json EventsSince(const std::string& prefix, uint64_t after) const {
+    Json events = Json::array();
+    for (auto one = history_.upper_bound(after); one != history_.end(); ++one) {
+      if (!Under(one->second, prefix)) continue;
+      const auto found = items_.find(one->second);
+      if (found == items_.end()) {
+        events.push_back(
+            {{"key", one->second}, {"rev", one->first}, {"tombstone", true}});
+      } else {
+        events.push_back(ToJson(one->second, found->second));
+      }
+    }
+    return events;
+  }
+
+  void Notify() {
+    for (auto watch = watches_.begin(); watch != watches_.end();) {
+      const Json events = EventsSince(watch->prefix_, watch->after_);
+      if (events.empty()) {
+        ++watch;
+        continue;
+      }
+      Reply(watch->request_, 200,
+            {{"events", events}, {"current_rev", revision_}});
+      watch = watches_.erase(watch);
+    }
+  }
+
+  void EndWatch(RequestId id) {
+    for (auto watch = watches_.begin(); watch != watches_.end(); ++watch) {
+      if (!(watch->request_ == id)) continue;
+      watches_.erase(watch);
+      return Reply(id, 200,
+                   {{"events", Json::array()}, {"current_rev", revision_}});
+    }
+  }
+
+  World* world_;
+  uint64_t revision_ = 10;
+  uint64_t last_lease_ = 70;
+  std::map<std::string, Item> items_;
+  std::map<uint64_t, std::string> history_;
+  std::map<uint64_t, std::pair<Time, Duration>> leases_;
+  std::list<Watch> watches_;
+  HttpServer server_;
+};
+
+/// One worker. A task's payload is its run time in milliseconds.
+class HostedWorker {
+ public:
+  HostedWorker(World* world, std::string id, int32_t cpu_milli)
+      : world_(world),
+        id_(std::move(id)),
+        cpu_milli_(cpu_milli),
+        server_(world->base_, MakeEvents()) {}
+
+  void Start(Store* store) {
+    server_.Listen({"127.0.0.1", 0});
+    const Json entry = {
+        {"service", "dossier"},
+        {"addr", ToString(server_.address())},
+        {"zone", "rennes"},
+        {"state", "ready"},
+        {"capacity", {{"cpu", cpu_milli_}, {"mem_mb", 131072}, {"gpu", 0}}},
+        {"labels", {"a", "r1"}},
+        {"born", kBorn},
+        {"seq", 1}};
+    store->Put("servers/" + id_, entry.dump());
+    Check();
+  }
+
+ private:
+  static constexpr int64_t kBorn = 1790000000000;
+  /// Of a task: every one asks for the same.
+  static constexpr int32_t kTaskCpu = 14000;
+  static constexpr int64_t kLeaseCheckMs = 10;
+
+  struct Run {
+    int number_ = 0;
+    Time until_;
+    Time since_;
+  };
+
+  HttpServerEvents MakeEvents() {
+    HttpServerEvents events;
+    events.request_ = [this](RequestId id, const CallerRequest& read) {
+      const Json body = Json::parse(read.body_, nullptr, false);
+      if (read.path_ == "/-/hold") return Hold(id, body);
+      if (read.path_ == "/-/run-stop") return Stop(id, body);
+      std::uniform_real_distribution<double> share(0, 1);
+      if (share(world_->random_) >= world_->faults_.silent_share_) {
+        return Start(id, body);
+      }
+      After(world_->base_, world_->faults_.late_ms_,
+            [this, body] { Start(RequestId{}, body); });
+    };
+    events.gone_ = [this](RequestId id) {
+      if (waiting_ == id) waiting_ = RequestId{};
+    };
+    return events;
+  }
+
+  int64_t Clock() const { return world_->clock_.Now().ms_ % 1000000000; }
+
+  bool TakeFence(RequestId id, const Json& body) {
+    const auto fence = body.value("fence", uint64_t{0});
+    if (fence >= fence_) {
+      fence_ = fence;
+      return true;
+    }
+    ++world_->counts_.stale_;
+    Reply(id, 409, {{"reason", "fence"}});
+    return false;
+  }
+
+  void Renew(const Json& body) {
+    if (!body.contains("deadline_ms")) return;
+    lease_ = std::max(
+        lease_, std::min(body["deadline_ms"].get<int64_t>(), Clock() + 1000));
+  }
+
+  void Reply(RequestId id, int status, Json body) {
+    body["clock_ms"] = Clock();
+    body["born"] = kBorn;
+    if (id.valid()) server_.Reply(id, JsonReply(status, body));
+  }
+
+  void Start(RequestId id, const Json& body) {
+    if (!TakeFence(id, body)) return;
+    if (body.at("deadline_ms").get<int64_t>() < Clock()) {
+      return Reply(id, 409, {{"reason", "late"}});
+    }
+    const std::string task = body.at("task").get<std::string>();
+    const int number = body.at("run").get<int>();
+    if (runs_.count(task) > 0 && runs_[task].number_ == number) {
+      return Reply(id, 200, Json::object());
+    }
+    const auto ended = ended_.find(task);
+    if (ended != ended_.end() && number <= ended->second) {
+      return Reply(id, 409, {{"reason", "old"}});
+    }
+    Counts& counts = world_->counts_;
+    ++counts.starts_;
+    if (world_->running_[task] > 0) ++counts.twice_;
+    if (world_->done_[task] > 0) ++counts.after_done_;
+    const auto used = static_cast<int32_t>(runs_.size()) * kTaskCpu;
+    if (used + kTaskCpu > cpu_milli_) ++counts.overbooked_;
+    Renew(body);
+    const int64_t ms = std::stoll(body.at("spec").get<std::string>());
+    const Time now = world_->clock_.Now();
+    runs_[task] = {number, now + Duration{ms}, now};
+    ++world_->running_[task];
+    After(world_->base_, ms, [this, task, number] {
+      const auto run = runs_.find(task);
+      if (run != runs_.end() && run->second.number_ == number) {
+        End(task, "done");
+      }
+    });
+    Reply(id, 200, Json::object());
+  }
+
+  void Stop(RequestId id, const Json& body) {
+    if (!TakeFence(id, body)) return;
+    const std::string task = body.at("task").get<std::string>();
+    const int number = body.at("run").get<int>();
+    ended_[task] = std::max(ended_[task], number);
+    const auto run = runs_.find(task);
+    if (run != runs_.end() && run->second.number_ == number) {
+      End(task, "stopped");
+    }
+    Reply(id, 200, Json::object());
+  }
+
+  void End(const std::string& task, const std::string& how) {
+    const auto run = runs_.find(task);
+    ended_[task] = std::max(ended_[task], run->second.number_);
+    ++last_end_;
+    finished_[last_end_] = {last_end_, task, run->second.number_, how, ""};
+    --world_->running_[task];
+    if (how == "done") {
+      ++world_->done_[task];
+      ++world_->counts_.done_;
+    }
+    if (how == "lapsed") ++world_->counts_.lapsed_;
+    runs_.erase(run);
+    if (waiting_.valid()) Answer(waiting_);
+  }
+
+  void Hold(RequestId id, const Json& body) {
+    if (!TakeFence(id, body)) return;
+    Renew(body);
+    const auto seen = body.value("last_seen", uint64_t{0});
+    finished_.erase(finished_.begin(), finished_.upper_bound(seen));
+    const auto wait = body.value("wait_ms", int64_t{0});
+    if (wait == 0 || !finished_.empty()) return Answer(id);
+    if (waiting_.valid()) Answer(waiting_);
+    waiting_ = id;
+    After(world_->base_, wait, [this, id] {
+      if (waiting_ == id) Answer(id);
+    });
+  }
+
+  void Answer(RequestId id) {
+    if (waiting_ == id) waiting_ = RequestId{};
+    Json running = Json::array();
+    const Time now = world_->clock_.Now();
+    for (const auto& [task, run] : runs_) {
+      const double part = 100.0 * static_cast<double>((now - run.since_).ms_) /
+                          static_cast<double>(std::max<int64_t>(
+                              1, (run.until_ - run.since_).ms_));
+      running.push_back({task, run.number_, "", static_cast<int>(part)});
+    }
+    Json finished = Json::array();
+    for (const auto& [number, row] : finished_) finished.push_back(row);
+    Reply(id, 200, {{"running", running}, {"finished", finished}});
+  }
+
+  // Ends all runs once the lease has passed.
+  void Check() {
+    while (!runs_.empty() && Clock() > lease_) {
+      End(runs_.begin()->first, "lapsed");
+    }
+    After(world_->base_, kLeaseCheckMs, [this] { Check(); });
+  }
+
+  World* world_;
+  std::string id_;
+  int32_t cpu_milli_;
+  uint64_t fence_ = 0;
+  int64_t lease_ = 0;
+  uint64_t last_end_ = 0;
+  std::map<std::string, Run> runs_;
+  std::map<std::string, int> ended_;  ///< Highest run that is over, by task.
+  std::map<uint64_t, Json> finished_;
+  RequestId waiting_;
+  HttpServer server_;
+};
+
+Json Report(const Counts& counts) {
+  return {{"starts", counts.starts_},        {"done", counts.done_},
+          {"lapsed", counts.lapsed_},        {"overbooked", counts.overbooked_},
+          {"twice", counts.twice_},          {"stale", counts.stale_},
+          {"after_done", counts.after_done_}};
+}
+
+Json Configuration() {
+  const Json queue = {
+      {"name", "r-1"},        {"host", "desk.example"}, {"prefix", "/case/"},
+      {"kind", "mutating"},   {"timeout_ms", 1500},     {"slo_ms", 60},
+      {"service", "dossier"}, {"retries", 2},           {"stretch", 1.6}};
+  return {{"version", 3},
+          {"routes", Json::array({queue})},
+          {"services", Json::array()},
+          {"limits", Json::object()}};
+}
+
+int Main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  Options options;
+  po::options_description all("Stand-in for the users' platform");
+  all.add_options()("help", "show this text")(
+      "workers", po::value(&options.workers_), "number of workers")(
+      "cpu", po::value(&options.cpu_milli_), "room of each, in 1/1000 cores");
+  if (!ParseCommandLine(argc, argv, all)) return 2;
+  signal(SIGPIPE, SIG_IGN);
+  World world;
+  world.base_ = event_base_new();
+  Store store(&world);
+  const Address address = store.Start();
+  store.Put("op/config", Configuration().dump());
+  std::list<HostedWorker> workers;
+  for (uint32_t i = 0; i < options.workers_; ++i) {
+    workers.emplace_back(&world, "i-" + std::to_string(i), options.cpu_milli_)
+        .Start(&store);
+  }
+  HttpServer* control = nullptr;
+  HttpServerEvents events;
+  events.request_ = [&](RequestId id, const CallerRequest& read) {
+    if (read.method_ == "PUT") {
+      auto query = ParseQuery(read.path_);
+      world.faults_.store_down_ = query.count("store_down") > 0;
+      world.faults_.silent_share_ = std::atof(query["silent"].c_str());
+      world.faults_.late_ms_ = std::atoll(query["late_ms"].c_str());
+    }
+    control->Reply(id, JsonReply(200, Report(world.counts_)));
+  };
+  events.gone_ = [](RequestId) {};
+  HttpServer server(world.base_, events);
+  control = &server;
+  server.Listen({"127.0.0.1", 0});
+  ExitOnEof(world.base_);
+  std::cout << Json{{"event", "listening"},
+                    {"store", ToString(address)},
+                    {"control", ToString(server.address())}}
+                   .dump()
+            << std::endl;
+  event_base_dispatch(world.base_);
+  return 0;
+}
+
+}  // namespace
+}  // namespace gentiandeal::standin
+
+int main(int argc, char** argv) {
+  try {
+    return gentiandeal::standin::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 1;
+  }
+}
