--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -120,7 +120,6 @@
   static constexpr Duration kPause{450};
   /// Owners report their load at most this often, but for the last change.
   static constexpr Duration kLoadInterval{20};
-  static constexpr Duration kSlowJob{1000};
 
   static Incarnation NewIncarnation() {
     std::random_device device;
@@ -147,14 +146,15 @@
       CarryOut();
     };
     events.caller_gone_ = [this](const CallerGone& gone) {
-      NoteEnd(gone.request_, "caller-gone", "caller-gone", {});
+      NoteEnd({gone.request_, {}, "connection-ended", {}, {}, {}},
+              "caller-gone");
       desk_.On(gone, clock_.Now(), &desk_out_);
       CarryOut();
     };
     events.start_ended_ = [this](const StartEnded& ended) {
       if (ended.result_ != StartResult::kStarted) {
         spdlog::info("event=start-refused call={} result={}",
-                     ended.call_.value_, static_cast<int>(ended.result_));
+                     ended.call_.value_, Name(ended.result_));
       }
       owner_.On(ended, clock_.Now(), &owner_out_);
       CarryOut();
@@ -209,9 +209,11 @@
         spdlog::info("event=owner-reached owner={}", owner.value_);
         claims_.Reachable(owner, true);
       }
+      loads_at_[owner.value_] = clock_.Now();
       desk_.OwnerReports(owner, data_centre, load);
     };
     events.owner_lost_ = [this](const InstanceName& owner) {
+      loads_at_.erase(owner.value_);
       if (reachable_.erase(owner.value_) == 0) return;
       spdlog::warn("event=owner-lost owner={}", owner.value_);
       claims_.Reachable(owner, false);
@@ -259,16 +261,21 @@
     Outbox commands;
     commands.swap(*outbox);
     for (const auto& command : commands) {
-      std::visit([this](const auto& one) { Do(one); }, command);
+      std::visit([this](const auto& one) { this->Do(one); }, command);
     }
   }
 
   void Do(const AnswerRoomJob& answer) {
-    NoteEnd(answer.request_, Name(answer.outcome_), answer.reason_,
-            answer.retry_after_);
+    NoteEnd(answer, Name(answer.outcome_));
     backend_->Answer(answer);
   }
   void Do(const SendAssign& send) {
+    spdlog::info(
+        "event=assign step={} owner={} tasks={} cpu_milli={} "
+        "expected_ms={} start_within_ms={}",
+        send.assign_.name_, send.owner_.value_, send.assign_.tasks_.size(),
+        send.assign_.need_.cpu_milli_, send.assign_.expected_.ms_,
+        send.assign_.start_within_.ms_);
     if (send.owner_ == init_.name_) {
       return owner_.On(kOwnSession, send.assign_, clock_.Now(), &owner_out_);
     }
@@ -284,7 +291,12 @@
     }
     mesh_.Send(send.owner_, send.withdraw_);
   }
-  void Do(const StartRun& start) { backend_->Send(start); }
+  void Do(const StartRun& start) {
+    spdlog::info("event=start task={} run={} worker={} fence={} call={}",
+                 start.task_, start.run_, start.worker_->id_.value_,
+                 start.fence_.value_, start.call_.value_);
+    backend_->Send(start);
+  }
   void Do(const StopRun& stop) {
     spdlog::info("event=stop task={} run={} worker={}", stop.task_, stop.run_,
                  stop.worker_->id_.value_);
@@ -321,20 +333,30 @@
     owner_.Disown(disown.worker_, clock_.Now(), &owner_out_);
   }
 
-  void NoteEnd(RequestId request, std::string_view outcome,
-               std::string_view reason, Duration retry_after) {
-    const auto found = watched_.find(request.value_);
+  void NoteEnd(const AnswerRoomJob& answer, std::string_view outcome) {
+    const auto found = watched_.find(answer.request_.value_);
     if (found == watched_.end()) return;
     const Watched& job = found->second;
-    const Duration age = clock_.Now() - job.since_;
+    const Time now = clock_.Now();
+    const Duration age = now - job.since_;
     status_.JobEnded(outcome, age);
     spdlog::info(
         "event=job request={} queue={} outcome={} reason={} age_ms={} "
-        "retry_after_ms={}",
-        job.id_, job.queue_, outcome, reason, age.ms_, retry_after.ms_);
+        "slack_ms={} expected_wait_ms={} owners={} oldest_load_ms={}",
+        job.id_, job.queue_, outcome, answer.reason_, age.ms_,
+        answer.slack_.ms_, answer.expected_wait_.ms_, reachable_.size() + 1,
+        OldestLoad(now).ms_);
     watched_.erase(found);
   }
 
+  Duration OldestLoad(Time now) const {
+    Duration oldest{0};
+    for (const auto& [owner, at] : loads_at_) {
+      oldest = std::max(oldest, now - at);
+    }
+    return oldest;
+  }
+
   void RefreshOwnLoad() {
     if (owner_.load_version() == own_version_) return;
     own_version_ = owner_.load_version();
@@ -461,6 +483,7 @@
   ClaimOutbox claims_out_;
   std::vector<InstanceName> lost_owners_;
   std::set<std::string> reachable_;
+  std::map<std::string, Time> loads_at_;  // of other owners
   std::unordered_map<uint64_t, Watched> watched_;
   event* tick_ = nullptr;
   event* drain_ = nullptr;
--- /dev/null
+++ b/src/hosted_options.h
@@ -0,0 +1,24 @@
+#ifndef GENTIANDEAL_SRC_HOSTED_OPTIONS_H_
+#define GENTIANDEAL_SRC_HOSTED_OPTIONS_H_
+
+#include <optional>
+
+#include "commands.h"
+
+namespace gentiandeal {
+
+/// Command line of `gentiandeal hosted`.
+struct HostedOptions {
+  std::string settings_file_;
+  std::string log_level_;
+  bool check_only_ = false;
+};
+
+/// @param variable Names the settings file where the words don't.
+/// @returns an `ExitCode` when the command ends here, after help or an error.
+std::optional<int> ReadHostedOptions(const Words& words, const char* variable,
+                                     HostedOptions* out);
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_HOSTED_OPTIONS_H_
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -20,7 +20,7 @@
 struct HttpServerEvents {
   std::function<void(RequestId, CallerRequest)> request_;
   /// The sender of an unanswered request is gone.
-  std::function<void(RequestId)> gone_;
+  std::function<void(RequestId)> gone_ = [](RequestId) {};
 };
 
 struct HttpServerStats {
--- a/src/job_desk.cc
+++ b/src/job_desk.cc
@@ -18,6 +18,19 @@
 constexpr Duration kRetryAfter{1000};
 constexpr Duration kMinGiveUp{50};
 
+Duration Slack(const RoomJob& job) {
+  return std::max(Duration{0}, job.objective_ - LongestChain(job));
+}
+
+PoolLoad* FindPool(OwnerLoad* load, const std::string& pool) {
+  for (PoolLoad& one : load->pools_) {
+    if (one.pool_ == pool) return &one;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
 Duration LongestChain(const RoomJob& job) {
   std::vector<int64_t> until(job.steps_.size(), 0);
   int64_t longest = 0;
@@ -32,19 +45,21 @@
   return {longest};
 }
 
-Duration Slack(const RoomJob& job) {
-  return std::max(Duration{0}, job.objective_ - LongestChain(job));
-}
-
-PoolLoad* FindPool(OwnerLoad* load, const std::string& pool) {
-  for (PoolLoad& one : load->pools_) {
-    if (one.pool_ == pool) return &one;
+bool HasValidSteps(const RoomJob& job) {
+  uint64_t tasks = 0;
+  for (size_t i = 0; i < job.steps_.size(); ++i) {
+    const RoomStep& step = job.steps_[i];
+    tasks += step.count_;
+    if (step.count_ == 0 || tasks > config::kMaxRoomTasks) return false;
+    if (step.need_.cpu_milli_ < 0 || step.need_.memory_mb_ < 0) return false;
+    if (std::any_of(step.after_.begin(), step.after_.end(),
+                    [&](uint32_t before) { return before >= i; })) {
+      return false;
+    }
   }
-  return nullptr;
+  return !job.steps_.empty();
 }
 
-}  // namespace
-
 std::string_view Name(RoomOutcome outcome) {
   switch (outcome) {
     case RoomOutcome::kComplete:
@@ -85,11 +100,11 @@
   return loads;
 }
 
-void JobDesk::Refuse(RequestId request, std::string_view reason,
-                     Duration retry_after, DeskOutbox* out) {
+void JobDesk::Refuse(RequestId request, std::string_view reason, Duration wait,
+                     Duration slack, DeskOutbox* out) {
   ++stats_.refused_;
-  out->push_back(
-      AnswerRoomJob{request, RoomOutcome::kNotRun, reason, retry_after});
+  out->push_back(AnswerRoomJob{request, RoomOutcome::kNotRun, reason,
+                               kRetryAfter, wait, slack});
 }
 
 void JobDesk::On(const SubmitRoomJob& submit, Time now, DeskOutbox* out) {
@@ -106,17 +121,17 @@
   }
   const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_);
   if (loads.empty()) {
-    return Refuse(submit.request_, "no-workers", kRetryAfter, out);
+    return Refuse(submit.request_, "no-workers", {}, {}, out);
   }
   if (!FitsSomewhere(spec)) {
-    return Refuse(submit.request_, "never-runnable", kRetryAfter, out);
+    return Refuse(submit.request_, "never-runnable", {}, {}, out);
   }
   const RoomStep& first = spec.steps_[0];
   const Duration slack = Slack(spec);
   const Duration wait = ExpectedWait(loads, {first.count_, first.need_, slack});
   if (static_cast<double>(wait.ms_) >
       kMaxWaitShare * static_cast<double>(slack.ms_)) {
-    return Refuse(submit.request_, "overloaded", kRetryAfter, out);
+    return Refuse(submit.request_, "overloaded", wait, slack, out);
   }
   const uint64_t id = ++last_job_;
   Job& job = jobs_[id];
@@ -346,7 +361,8 @@
       break;
   }
   if (job.request_.valid()) {
-    out->push_back(AnswerRoomJob{job.request_, outcome, reason, kRetryAfter});
+    out->push_back(AnswerRoomJob{
+        job.request_, outcome, reason, kRetryAfter, {}, Slack(*job.spec_)});
   }
   by_request_.erase(job.request_.value_);
   by_id_.erase(job.spec_->id_);
--- a/src/job_desk.h
+++ b/src/job_desk.h
@@ -35,6 +35,13 @@
   Duration deadline_;  ///< The caller waits no longer than this.
 };
 
+/// Run time of the longest chain of steps, as expected.
+Duration LongestChain(const RoomJob& job);
+
+/// Whether there are tasks, not too many, and each step follows earlier ones.
+/// The other functions take only such jobs.
+bool HasValidSteps(const RoomJob& job);
+
 struct SubmitRoomJob {
   RequestId request_;
   RoomJob job_;
@@ -57,6 +64,8 @@
   RoomOutcome outcome_ = RoomOutcome::kNotRun;
   std::string_view reason_;
   Duration retry_after_;
+  Duration expected_wait_;  ///< That an admission was decided by.
+  Duration slack_;          ///< That the job's objective leaves for waiting.
 };
 
 /// Tasks for the owner named; the instance itself may be one.
@@ -169,8 +178,8 @@
              Placed* placed);
   static Time UsefulUntil(const Job& job);
   void Withdraw(Job* job, DeskOutbox* out);
-  void Refuse(RequestId request, std::string_view reason, Duration retry_after,
-              DeskOutbox* out);
+  void Refuse(RequestId request, std::string_view reason, Duration wait,
+              Duration slack, DeskOutbox* out);
   void Finish(uint64_t id, RoomOutcome outcome, std::string_view reason,
               DeskOutbox* out);
   void GiveUp(uint64_t id, std::string_view reason, DeskOutbox* out);
--- a/src/run_owner.cc
+++ b/src/run_owner.cc
@@ -52,6 +52,30 @@
 
 }  // namespace
 
+std::string_view Name(StartResult result) {
+  switch (result) {
+    case StartResult::kStarted:
+      return "started";
+    case StartResult::kStaleFence:
+      return "stale-fence";
+    case StartResult::kOldRun:
+      return "old-run";
+    case StartResult::kLate:
+      return "late";
+    case StartResult::kNoRoom:
+      return "no-room";
+    case StartResult::kUnavailable:
+      return "unavailable";
+    case StartResult::kOtherLife:
+      return "other-life";
+    case StartResult::kRejected:
+      return "rejected";
+    case StartResult::kUnanswered:
+      return "unanswered";
+  }
+  return "unknown";
+}
+
 RunOwner::Worker* RunOwner::Find(const std::string& id) {
   const auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : &found->second;
--- a/src/run_owner.h
+++ b/src/run_owner.h
@@ -69,6 +69,9 @@
   kUnanswered,   ///< May have been carried out, or may be yet.
 };
 
+/// Stable name for logs, such as `stale-fence`.
+std::string_view Name(StartResult result);
+
 struct StartEnded {
   WorkerCallId call_;
   StartResult result_ = StartResult::kUnanswered;
--- a/tests/standins/hosted.cc
+++ b/tests/standins/hosted.cc
@@ -4,9 +4,9 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "base64.h"
 #include "http_server.h"
 #include "standin.h"
-#include "store_follower.h"
 
 /// Stand-in for the users' platform: its store and a number of workers, as
 /// its published protocol tells. Counts what an instance must never cause.
@@ -97,7 +97,7 @@
   void Put(const std::string& key, const std::string& value,
            uint64_t lease = 0) {
     Item& item = items_[key];
-    item = {platform::EncodeBase64(value), ++revision_, lease};
+    item = {EncodeBase64(value), ++revision_, lease};
     history_[revision_] = key;
     Notify();
   }
@@ -207,7 +207,7 @@
         return Reply(id, 404, Json::object());
       }
       std::string value;
-      platform::DecodeBase64(row.at("value").get<std::string>(), &value);
+      DecodeBase64(row.at("value").get<std::string>(), &value);
       Put(row.at("key").get<std::string>(), value, lease);
     }
     Reply(id, 200, {{"rev", revision_}});
--- /dev/null
+++ b/tests/unit/mesh_wire_test.cc
@@ -0,0 +1,64 @@
+#include "mesh_wire.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "peer_wire.h"
+
+namespace gentiandeal {
+namespace {
+
+AssignTasks MakeAssign() {
+  AssignTasks assign;
+  assign.name_ = "5c0e7a21d94b36f8.0.0";
+  assign.pool_ = "pool";
+  assign.payload_ = std::string(4000, 'x');
+  assign.need_ = {14000, 64, 0};
+  assign.expected_ = {200};
+  assign.begun_ = true;
+  assign.tasks_ = {{{7}, 0}, {{8}, 1}};
+  return assign;
+}
+
+BOOST_AUTO_TEST_SUITE(mesh_wire)
+
+BOOST_AUTO_TEST_CASE(FramesKeepTheirFields) {
+  const std::string bytes = EncodeMesh(MakeAssign());
+  MeshFrame frame;
+  BOOST_REQUIRE(
+      DecodeMesh(std::string_view(bytes).substr(kFrameLengthBytes), &frame));
+  const auto* read = std::get_if<AssignTasks>(&frame);
+  BOOST_REQUIRE(read != nullptr);
+  BOOST_TEST(read->payload_.size() == 4000U);
+  BOOST_TEST(read->tasks_.size() == 2U);
+  BOOST_TEST((read->tasks_[1].serial_ == TaskSerial{8}));
+  BOOST_TEST(read->begun_);
+  BOOST_TEST(EncodeMesh(frame) == bytes);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsKeepTheirFields) {
+  OwnerLoad load;
+  load.draining_ = true;
+  PoolLoad& pool = load.pools_.emplace_back();
+  pool.pool_ = "pool";
+  pool.free_ = {{1, 2, 3}};
+  pool.queued_milli_[3] = 9;
+  const std::string bytes = EncodeMesh(load);
+  MeshFrame frame;
+  BOOST_REQUIRE(
+      DecodeMesh(std::string_view(bytes).substr(kFrameLengthBytes), &frame));
+  BOOST_TEST(EncodeMesh(frame) == bytes);
+}
+
+BOOST_AUTO_TEST_CASE(CutOrChangedFramesAreRefusedOrReadWhole) {
+  const std::string whole = EncodeMesh(MakeAssign()).substr(kFrameLengthBytes);
+  MeshFrame frame;
+  for (size_t size = 0; size < whole.size(); size += 13) {
+    BOOST_TEST(!DecodeMesh(std::string_view(whole).substr(0, size), &frame));
+  }
+  BOOST_TEST(!DecodeMesh(whole + "x", &frame));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace gentiandeal
--- /dev/null
+++ b/tests/unit/platform_test.cc
@@ -0,0 +1,149 @@
+#include <boost/test/unit_test.hpp>
+
+#include "base64.h"
+#include "caller_codec.h"
+#include "process_settings.h"
+#include "store_client.h"
+#include "worker_calls.h"
+
+namespace gentiandeal::platform {
+namespace {
+
+constexpr char kTable[] = R"({"version":7,"routes":[
+  {"name":"r-1","host":"desk.example","prefix":"/case/","service":"dossier",
+   "slo_ms":60,"retries":3,"stretch":1.6},
+  {"name":"r-2","host":"desk.example","prefix":"/case/long/",
+   "service":"dossier","slo_ms":60,"retries":0}]})";
+
+struct CodecFixture {
+  QueueTable table_;
+
+  CodecFixture() { BOOST_REQUIRE(ParseQueueTable(kTable, &table_)); }
+
+  CallerAsks Ask(const std::string& method, const std::string& path,
+                 const std::string& body = "") {
+    CallerRequest request;
+    request.method_ = method;
+    request.path_ = path;
+    request.fields_ = {{"Host", "desk.example:80"}, {"Deadline-Ms", "900"}};
+    request.body_ = body;
+    return ReadCallerRequest(request, &table_);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(platform_codec, CodecFixture)
+
+BOOST_AUTO_TEST_CASE(LongestPrefixSelectsTheQueue) {
+  BOOST_TEST(FindQueue(table_, "desk.example", "/case/a")->name_ == "r-1");
+  BOOST_TEST(FindQueue(table_, "DESK.example", "/case/long/a")->name_ == "r-2");
+  BOOST_TEST(FindQueue(table_, "other.example", "/case/a") == nullptr);
+  BOOST_TEST(!ParseQueueTable(R"({"version":"x"})", &table_));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAJobWithItsObjective) {
+  const CallerAsks asks =
+      Ask("POST", "/case/5c0e7a21d94b36f8",
+          R"({"spec":"x","best_effort":true,"phases":[{"count":4,"cpu":500,
+              "mem_mb":256,"est_ms":900}]})");
+  BOOST_REQUIRE((asks.kind_ == CallerAsks::Kind::kSubmit));
+  BOOST_TEST(asks.job_.objective_.ms_ == 1500);
+  BOOST_TEST(asks.job_.deadline_.ms_ == 900);
+  BOOST_TEST(asks.job_.max_failures_ == 3U);
+  BOOST_TEST(asks.job_.steps_[0].count_ == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWholeWhatIsNotServed) {
+  const auto status = [&](const char* body) {
+    return Ask("POST", "/case/5c0e7a21d94b36f8", body).reply_.status_;
+  };
+  BOOST_TEST(status(R"({"spec":"x","phases":[{"count":1}]})") == 503);
+  BOOST_TEST(status(R"({"best_effort":true,"repeats":2,
+                        "phases":[{"count":1}]})") == 503);
+  BOOST_TEST(status(R"({"best_effort":true,
+                        "phases":[{"count":2,"anti_affinity":1}]})") == 503);
+  BOOST_TEST(status(R"({"best_effort":true,
+                        "phases":[{"count":1,"after":[0]}]})") == 400);
+  BOOST_TEST(status(R"({"best_effort":true,"phases":[{"count":"x"}]})") == 400);
+  BOOST_TEST(status("[]") == 400);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersWhatIsKnownWithoutAJob) {
+  BOOST_TEST(Ask("GET", "/case/").reply_.status_ == 200);
+  BOOST_TEST(Ask("GET", "/none/").reply_.status_ == 404);
+  BOOST_TEST(Ask("GET", "/case/5c0e7a21d94b36f8").reply_.status_ == 410);
+  BOOST_TEST(Ask("DELETE", "/case/5c0e7a21d94b36f8").reply_.status_ == 410);
+  BOOST_TEST(ReadCallerRequest({}, nullptr).reply_.status_ == 503);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsTellWhenToComeBack) {
+  const HttpReply reply =
+      ToReply({{1}, RoomOutcome::kNotRun, "overloaded", {1200}, {}, {}});
+  BOOST_TEST(reply.status_ == 429);
+  BOOST_REQUIRE(FindField(reply.fields_, "Retry-After") != nullptr);
+  BOOST_TEST(*FindField(reply.fields_, "Retry-After") == "2");
+  BOOST_TEST(ToReply({{1}, RoomOutcome::kTimedOut, "x", {}, {}, {}}).status_ ==
+             504);
+}
+
+BOOST_AUTO_TEST_CASE(EntriesOfOtherWritersNameNoWorker) {
+  const std::string good =
+      R"({"service":"s","addr":"10.0.0.1:80","zone":"west","state":"draining",
+          "capacity":{"cpu":1000,"mem_mb":10,"gpu":0},"labels":["a"],"seq":4})";
+  LeasedWorker worker;
+  BOOST_REQUIRE(ParseWorkerEntry("w", good, &worker));
+  BOOST_TEST(worker.leaving_);
+  BOOST_TEST(!ParseWorkerEntry("w", R"({"service":"s"})", &worker));
+  BOOST_TEST(!ParseWorkerEntry("w", "\xff\xfe", &worker));
+  std::string odd = good;
+  odd.replace(odd.find("draining"), 8, "sleeping");
+  BOOST_TEST(!ParseWorkerEntry("w", odd, &worker));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsWhatWorkersAnswer) {
+  std::optional<int64_t> clock;
+  HttpResponse response;
+  response.status_ = 409;
+  response.body_ = R"({"clock_ms":42,"reason":"late"})";
+  BOOST_TEST((ReadStartResult(response, &clock) == StartResult::kLate));
+  BOOST_TEST(*clock == 42);
+  response.status_ = 0;
+  response.body_.clear();
+  BOOST_TEST((ReadStartResult(response, &clock) == StartResult::kUnanswered));
+  response.status_ = 200;
+  response.body_ = R"({"clock_ms":42,"born":7,"running":[["t",2,"",41]],
+                       "finished":[[58,"u",1,"done",""]]})";
+  HoldEnded hold;
+  ReadHold(response, &hold);
+  BOOST_REQUIRE((hold.result_ == HoldResult::kListed));
+  BOOST_TEST(hold.running_[0].percent_ == 41);
+  BOOST_TEST(hold.finished_[0].number_ == 58U);
+  BOOST_TEST(hold.born_ms_ == 7);
+  HoldEnded unread;
+  response.body_ = R"({"clock_ms":42})";
+  ReadHold(response, &unread);
+  BOOST_TEST((unread.result_ == HoldResult::kUnanswered));
+}
+
+BOOST_AUTO_TEST_CASE(SettingsNameWhatIsMissing) {
+  ProcessSettings settings;
+  std::string detail;
+  BOOST_TEST((ParseProcessSettings("{}", &settings, &detail) ==
+              make_error_code(Errc::kBadSettings)));
+  BOOST_TEST(detail.find("node_name") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Base64KeepsAllBytes) {
+  for (const std::string text : {"", "a", "ab", "abc", "a\xff\x01z"}) {
+    std::string back;
+    BOOST_REQUIRE(DecodeBase64(EncodeBase64(text), &back));
+    BOOST_TEST(back == text);
+  }
+  std::string back;
+  BOOST_TEST(!DecodeBase64("abc", &back));
+  BOOST_TEST(!DecodeBase64("????", &back));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace gentiandeal::platform
--- a/tests/unit/room_wait_test.cc
+++ b/tests/unit/room_wait_test.cc
@@ -12,9 +12,9 @@
 PoolLoad BusyPool(int64_t interval_ms) {
   PoolLoad load;
   load.pool_ = "pool";
+  const auto cores = static_cast<double>(kTask.cpu_milli_);
   load.release_milli_per_s_ = static_cast<uint64_t>(
-      static_cast<double>(kTask.cpu_milli_ * 1000LL / interval_ms) /
-      kPackingShare);
+      cores * 1000 / static_cast<double>(interval_ms) / kPackingShare);
   return load;
 }
 
