--- a/src/job_desk.cc
+++ b/src/job_desk.cc
@@ -227,7 +227,8 @@
     assign.expected_ = kind.expected_;
     assign.start_within_ = Slack(spec) - age;
     assign.give_up_ =
-        std::max(kMinGiveUp, spec.deadline_ - age - kind.expected_);
+        std::max(kMinGiveUp, std::min(spec.useful_within_, spec.deadline_) -
+                                 age - kind.expected_);
   }
   task.state_ = TaskState::kAssigned;
   task.serial_ = {++last_serial_};
--- a/tests/unit/job_desk_test.cc
+++ b/tests/unit/job_desk_test.cc
@@ -189,6 +189,17 @@
   BOOST_TEST(All<SendAssign>()[1].assign_.name_ == "a.0.1");
 }
 
+// Overload: a task is given up once its answer would be worth nothing, long
+// before a patient caller's deadline.
+BOOST_AUTO_TEST_CASE(GivesTasksUpOnceTheirAnswerIsOfNoUse) {
+  desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
+  RoomJob job = Job("a", 1);
+  job.deadline_ = {9000};
+  Submit(job);
+  BOOST_REQUIRE(All<SendAssign>().size() == 1U);
+  BOOST_TEST(All<SendAssign>()[0].assign_.give_up_.ms_ == 940);
+}
+
 BOOST_AUTO_TEST_CASE(StopsAtTheCallersDeadline) {
   desk_.OwnerReports({"self"}, "west", Load({{32000, 1000, 0}}));
   Submit(Job("a", 1));
