--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -249,15 +249,15 @@
       for (const InstanceName& owner : lost) {
         desk_.OwnerLost(owner, clock_.Now(), &desk_out_);
       }
-      Drain(&claims_out_);
-      Drain(&desk_out_);
-      Drain(&owner_out_);
+      CarryOutAll(&claims_out_);
+      CarryOutAll(&desk_out_);
+      CarryOutAll(&owner_out_);
     }
     carrying_out_ = false;
   }
 
   template <typename Outbox>
-  void Drain(Outbox* outbox) {
+  void CarryOutAll(Outbox* outbox) {
     Outbox commands;
     commands.swap(*outbox);
     for (const auto& command : commands) {
--- a/src/run_owner.cc
+++ b/src/run_owner.cc
@@ -12,44 +12,36 @@
 /// How much longer than asked a run may last: a worker's clock may be 2 % slow,
 /// and it takes up to its stop timeout, 50 ms, to end a run.
 constexpr Duration kLeaseSlack{120};
-/// Wait after a failed hold; doubles up to the limit.
-constexpr Duration kHoldBackoff{40};
-constexpr Duration kMaxHoldBackoff{320};
+
 /// Pause between two stops of one run.
 constexpr Duration kStopInterval{120};
-/// A run that is being stopped may be listed neither as running nor as ended
-/// for the workers' stop timeout; one that is missing after this is gone.
-constexpr Duration kStopSettle{150};
+
 /// Holds in a row without an answer after which a worker is left alone.
 constexpr uint32_t kHoldFailuresToDoubt = 2;
+
 /// A job that nothing of has begun is refused when it is late by this share of
 /// its slack; until then, its tasks use rooms that nobody else waits for.
 constexpr double kLateShare = 0.5;
+
 /// Tasks given back to their desks at a time.
 constexpr size_t kMaxGivenBack = 8;
+
 /// A run that takes longer than its expected time by this factor, and this
-/// much, is looked at out of turn.
+/// much, is looked at out of turn, at most so often.
 constexpr double kOverdueFactor = 1.7;
 constexpr Duration kOverdueSlack{40};
 constexpr Duration kLookInterval{90};
-/// A run is moved when it needs this many expected run times more: a restart
-/// costs one, and estimates are off by up to one.
-constexpr double kMoveFactor = 2.0;
-constexpr Duration kMoveSlack{60};
-/// Progress below this share says nothing about the speed yet.
-constexpr Duration kMinProgressAge{100};
-/// Failures in a row, of different tasks, before a worker is set aside.
-constexpr uint32_t kFailuresToSetAside = 2;
+
+/// How long a failing worker is set aside; doubles with each time.
 constexpr Duration kSetAside{1500};
 constexpr uint32_t kMaxSetAsideDoublings = 2;
-constexpr double kSlownessWeight = 0.15;  // of the newest run
+
+/// Added to a worker's cost, in rooms left over, for a task that it lost.
+constexpr double kAvoidCost = 2.0;
+
 /// Waiting tasks that one owner keeps; more are refused.
 constexpr size_t kMaxWaiting = 4096;
 
-std::string RunKey(const std::string& task, uint32_t run) {
-  return task + "#" + std::to_string(run);
-}
-
 }  // namespace
 
 std::string_view Name(StartResult result) {
@@ -287,7 +279,7 @@
     const double rest = worker.free_.cpu_milli_ - order.need_.cpu_milli_;
     double score = rest / std::max(1, order.need_.cpu_milli_);
     score += worker.slowness_;
-    if (id == task.avoid_) score += kMoveFactor;
+    if (id == task.avoid_) score += kAvoidCost;
     if (best == nullptr || score < best_score) {
       best = &worker;
       best_score = score;
@@ -459,242 +451,6 @@
   ++load_version_;
 }
 
-void RunOwner::On(const StartEnded& ended, Time now, OwnerOutbox* out) {
-  Call call;
-  if (!TakeCall(ended.call_, &call)) return;
-  Worker* worker = Find(call.worker_);
-  if (worker == nullptr) return;
-  if (ended.result_ == StartResult::kStaleFence) {
-    return Lose(call.worker_, "stale-fence", now, out);
-  }
-  const auto found =
-      std::find_if(worker->runs_.begin(), worker->runs_.end(),
-                   [&](const Run& run) { return run.key_ == call.run_; });
-  if (found == worker->runs_.end()) return;
-  Run& run = *found;
-  if (ended.clock_ms_ && !worker->clock_known_) {
-    worker->clock_ms_ = *ended.clock_ms_;
-    worker->clock_read_ = now;
-  }
-  if (ended.result_ == StartResult::kStarted) {
-    run.answered_ = true;
-    run.settled_ = now + kStopSettle;
-    if (run.task_) run.task_->started_ = true;
-    if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
-    return;
-  }
-  if (ended.result_ == StartResult::kUnanswered) {
-    ++stats_.starts_unanswered_;
-    if (run.task_) run.task_->started_ = true;
-    run.doubtful_since_ = now;
-    SendHold(worker, /*renew=*/true, now, out);
-    return;
-  }
-  // The worker said that nothing began.
-  ++stats_.starts_refused_;
-  std::optional<Task> task = std::move(run.task_);
-  RemoveRun(worker, call.run_);
-  if (ended.result_ == StartResult::kUnavailable &&
-      ++worker->failures_ >= kFailuresToSetAside) {
-    SetAside(worker, now);
-  }
-  if (ended.result_ == StartResult::kOtherLife) worker->confirmed_ = false;
-  if (task) {
-    if (ended.result_ == StartResult::kRejected) {
-      Report(*task, TaskEnd::kFailed, out);
-    } else {
-      Requeue(std::move(*task), *worker, now, out);
-    }
-  }
-  SendHold(worker, /*renew=*/true, now, out);
-  StartWaiting(now, out);
-}
-
-void RunOwner::On(const StopEnded& ended, Time now, OwnerOutbox* out) {
-  Call call;
-  if (!TakeCall(ended.call_, &call)) return;
-  Worker* worker = Find(call.worker_);
-  if (worker == nullptr) return;
-  for (Run& run : worker->runs_) {
-    if (run.key_ != call.run_) continue;
-    run.stop_open_ = false;
-    if (!ended.answered_) return;
-    run.stop_answered_ = true;
-    run.settled_ = now + kStopSettle;
-    // Shows the end; one that never began is missed by a later hold.
-    SendHold(worker, /*renew=*/true, now, out);
-    return;
-  }
-}
-
-void RunOwner::On(const HoldEnded& ended, Time now, OwnerOutbox* out) {
-  Call call;
-  if (!TakeCall(ended.call_, &call)) return;
-  Worker* worker = Find(call.worker_);
-  if (worker == nullptr) return;
-  (call.kind_ == CallKind::kRenew ? worker->renew_open_ : worker->hold_open_) =
-      false;
-  if (ended.result_ == HoldResult::kStaleFence) {
-    return Lose(call.worker_, "stale-fence", now, out);
-  }
-  if (ended.result_ != HoldResult::kListed) {
-    ++stats_.holds_failed_;
-    const uint32_t doublings = std::min<uint32_t>(worker->hold_failures_++, 3);
-    worker->hold_again_ =
-        now +
-        std::min(Duration{kHoldBackoff.ms_ << doublings}, kMaxHoldBackoff);
-    ++load_version_;
-    return;
-  }
-  if (worker->info_->born_ms_ != 0 && ended.born_ms_ != 0 &&
-      worker->info_->born_ms_ != ended.born_ms_) {
-    LeasedWorker reborn = *worker->info_;
-    reborn.born_ms_ = ended.born_ms_;
-    Update(reborn, now, out);
-    worker->confirmed_ = false;
-  }
-  const uint64_t version = load_version_;
-  const bool was_usable = Usable(*worker, now);
-  worker->hold_failures_ = 0;
-  // Answers on two connections may overtake each other.
-  const bool newest =
-      !worker->clock_known_ || ended.clock_ms_ >= worker->clock_ms_;
-  if (newest) {
-    worker->clock_ms_ = ended.clock_ms_;
-    worker->clock_read_ = now;
-    worker->clock_known_ = true;
-    worker->looked_at_ = now;
-  }
-  ReadFinished(worker, ended, now, out);
-  if (newest) {
-    ReadRunning(worker, ended, call.sent_, now, out);
-    worker->confirmed_ = true;
-  }
-  if (!worker->hold_open_) SendHold(worker, /*renew=*/false, now, out);
-  if (!was_usable || load_version_ != version) StartWaiting(now, out);
-}
-
-void RunOwner::ReadFinished(Worker* worker, const HoldEnded& ended, Time now,
-                            OwnerOutbox* out) {
-  uint64_t seen = worker->last_seen_;
-  for (const FinishedRun& finished : ended.finished_) {
-    if (finished.number_ <= worker->last_seen_) continue;
-    seen = std::max(seen, finished.number_);
-    const auto found = std::find_if(
-        worker->runs_.begin(), worker->runs_.end(), [&](const Run& run) {
-          return run.number_ == finished.run_ && run.name_ == finished.task_;
-        });
-    if (found == worker->runs_.end()) continue;
-    const Run run = std::move(*found);
-    worker->free_ += run.need_;
-    worker->runs_.erase(found);
-    ++load_version_;
-    EndRun(worker, run, finished.end_, now, out);
-  }
-  worker->last_seen_ = seen;
-}
-
-void RunOwner::NoteSpeed(Worker* worker, const Run& run, Time now) {
-  if (!run.task_) return;
-  const double took = static_cast<double>((now - run.sent_at_).ms_);
-  const double expected = std::max(
-      1.0, static_cast<double>(run.task_->order_->assign_.expected_.ms_));
-  const double ratio = std::min(took / expected, 8.0);
-  worker->slowness_ += kSlownessWeight * (ratio - worker->slowness_);
-}
-
-void RunOwner::EndRun(Worker* worker, const Run& run, RunEnd end, Time now,
-                      OwnerOutbox* out) {
-  if (end == RunEnd::kDone) {
-    ++stats_.done_;
-    worker->failures_ = worker->set_asides_ = 0;
-    NoteSpeed(worker, run, now);
-  } else if (end == RunEnd::kFailed) {
-    ++stats_.failed_;
-    if (++worker->failures_ >= kFailuresToSetAside) SetAside(worker, now);
-  } else if (end == RunEnd::kLapsed) {
-    ++stats_.lapsed_;
-  }
-  if (!run.task_) return;
-  Task task = *run.task_;
-  task.started_ = true;
-  if (end == RunEnd::kDone) return Report(task, TaskEnd::kDone, out);
-  if (end == RunEnd::kFailed) return Report(task, TaskEnd::kFailed, out);
-  Requeue(std::move(task), *worker, now, out);
-}
-
-void RunOwner::ReadRunning(Worker* worker, const HoldEnded& ended, Time sent,
-                           Time now, OwnerOutbox* out) {
-  std::unordered_map<std::string, double> listed;
-  for (const RunningRun& running : ended.running_) {
-    listed.emplace(RunKey(running.task_, running.run_), running.percent_);
-  }
-  std::vector<uint64_t> gone;
-  for (Run& run : worker->runs_) {
-    const auto found = listed.find(RunKey(run.name_, run.number_));
-    if (found != listed.end()) {
-      if (!run.settled_) run.settled_ = now + kStopSettle;
-      run.answered_ = true;
-      run.doubtful_since_.reset();
-      if (run.task_) run.task_->started_ = true;
-      if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
-      CheckProgress(worker, &run, found->second, now, out);
-      listed.erase(found);
-      continue;
-    }
-    if (run.doubtful_since_ && sent >= *run.doubtful_since_) {
-      // The order was lost or comes late; a stop keeps it from beginning.
-      run.doubtful_since_.reset();
-      BeginStop(worker, &run, now, out);
-    }
-    const bool settled = run.settled_ && sent >= *run.settled_;
-    const bool too_late = !run.answered_ && run.late_after_ms_ > 0 &&
-                          ended.clock_ms_ > run.late_after_ms_ &&
-                          run.state_ == RunState::kStopping;
-    if (settled || too_late) gone.push_back(run.key_);
-  }
-  for (const uint64_t key : gone) {
-    const auto found =
-        std::find_if(worker->runs_.begin(), worker->runs_.end(),
-                     [&](const Run& run) { return run.key_ == key; });
-    std::optional<Task> task = std::move(found->task_);
-    RemoveRun(worker, key);
-    if (task) Requeue(std::move(*task), *worker, now, out);
-  }
-  // What is left was started by an owner before. Its size isn't known, so that
-  // nothing is started beside it.
-  for (const RunningRun& running : ended.running_) {
-    if (listed.count(RunKey(running.task_, running.run_)) == 0) continue;
-    ++stats_.foreign_runs_;
-    Run& run = worker->runs_.emplace_back();
-    run.key_ = ++last_run_;
-    run.name_ = running.task_;
-    run.number_ = running.run_;
-    run.answered_ = true;
-    run.foreign_ = true;
-    BeginStop(worker, &run, now, out);
-  }
-}
-
-void RunOwner::CheckProgress(Worker* worker, Run* run, double percent, Time now,
-                             OwnerOutbox* out) {
-  if (run->state_ != RunState::kRunning || !run->task_) return;
-  const double elapsed = static_cast<double>((now - run->sent_at_).ms_);
-  const double expected =
-      static_cast<double>(run->task_->order_->assign_.expected_.ms_);
-  if (elapsed < kMinProgressAge.ms_ ||
-      elapsed < kOverdueFactor * expected / 2) {
-    return;
-  }
-  const double left = elapsed * (100 - percent) / std::max(percent, 0.5);
-  if (left < kMoveFactor * expected + kMoveSlack.ms_) return;
-  if (now >= run->task_->order_->give_up_) return;
-  ++stats_.stalled_;
-
-  if (now >= worker->aside_until_) SetAside(worker, now);
-  BeginStop(worker, run, now, out);
-}
-
 void RunOwner::DropRuns(Worker* worker, bool provably_over, Time now,
                         OwnerOutbox* out) {
   std::vector<Run> runs;
