Log what tells the ways to two runs of a task apart

Decision logic is unchanged: it only emits these facts as further commands. Counters runs_inferred_over_total and workers_restarted_total go with them.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -152,6 +152,9 @@
       RefreshOwnLoad();
       open_requests_[submit.request_.value_] = {
           submit.job_.id_, submit.job_.queue_, clock_.Now()};
+      spdlog::info("event=received request={} queue={} deadline_ms={}",
+                   submit.job_.id_, submit.job_.queue_,
+                   submit.job_.deadline_.ms_);
       coordinator_.On(submit, clock_.Now(), &coordinator_out_);
       ExecuteCommands();
     };
@@ -177,10 +180,6 @@
       ExecuteCommands();
     };
     events.poll_ended_ = [this](const PollEnded& ended) {
-      if (ended.result_ != PollResult::kListed) {
-        spdlog::warn("event=hold-failed call={} result={}", ended.call_.value_,
-                     Name(ended.result_));
-      }
       scheduler_.On(ended, clock_.Now(), &scheduler_out_);
       ExecuteCommands();
     };
@@ -229,10 +228,11 @@
       loads_received_at_[owner.value_] = clock_.Now();
       coordinator_.OwnerLoadReported(owner, data_centre, load);
     };
-    events.owner_lost_ = [this](const InstanceName& owner) {
+    events.owner_lost_ = [this](const InstanceName& owner, Duration silence) {
       loads_received_at_.erase(owner.value_);
       if (connected_owners_.erase(owner.value_) == 0) return;
-      spdlog::warn("event=owner-lost owner={}", owner.value_);
+      spdlog::warn("event=owner-lost owner={} silent_ms={}", owner.value_,
+                   silence.ms_);
       ownership_.SetReachable(owner, false);
       lost_owners_.push_back(owner);
     };
@@ -242,17 +242,28 @@
       ExecuteCommands();
     };
     events.assign_ = [this](SessionId session, const AssignTasks& assign) {
+      spdlog::info("event=assigned step={} session={} tasks={}", assign.name_,
+                   session.value_, assign.tasks_.size());
       scheduler_.On(session, assign, clock_.Now(), &scheduler_out_);
       ExecuteCommands();
     };
     events.cancel_ = [this](SessionId session, const CancelTasks& withdraw) {
+      spdlog::info("event=cancelled session={} tasks={}", session.value_,
+                   withdraw.tasks_.size());
       scheduler_.On(session, withdraw, clock_.Now(), &scheduler_out_);
       ExecuteCommands();
     };
     events.session_alive_ = [this](SessionId session) {
       scheduler_.NoteSessionAlive(session, clock_.Now());
     };
-    events.session_ended_ = [this](SessionId session) {
+    events.session_started_ = [this](SessionId session,
+                                     const InstanceName& coordinator) {
+      spdlog::info("event=session-started session={} coordinator={}",
+                   session.value_, coordinator.value_);
+    };
+    events.session_ended_ = [this](SessionId session, Duration silence) {
+      spdlog::warn("event=session-ended session={} silent_ms={}",
+                   session.value_, silence.ms_);
       scheduler_.EndSession(session, clock_.Now(), &scheduler_out_);
     };
     return events;
@@ -308,21 +319,36 @@
     }
   }
   void Execute(const SendCancel& send) {
+    spdlog::info("event=cancel request={} owner={} tasks={}", send.job_,
+                 send.owner_.value_, send.cancel_.tasks_.size());
     if (send.owner_ == init_.name_) {
       return scheduler_.On(kLocalSession, send.cancel_, clock_.Now(),
                            &scheduler_out_);
     }
-    mesh_.Send(send.owner_, send.cancel_);
+    if (!mesh_.Send(send.owner_, send.cancel_)) {
+      spdlog::warn("event=cancel-unsent request={} owner={}", send.job_,
+                   send.owner_.value_);
+    }
+  }
+  void Execute(const TaskReassigned& task) {
+    spdlog::info("event=reassign task={}.0.{}.{} owner={} end={}", task.job_,
+                 task.step_, task.index_, task.owner_.value_, Name(task.end_));
+  }
+  void Execute(const JobRejoined& job) {
+    spdlog::info("event=rejoined request={} age_ms={}", job.job_, job.age_.ms_);
   }
   void Execute(const StartRun& start) {
-    spdlog::info("event=start task={} run={} worker={} fence={} call={}",
-                 start.task_, start.run_, start.worker_->id_.value_,
-                 start.fence_.value_, start.call_.value_);
+    spdlog::info(
+        "event=start task={} run={} worker={} fence={} call={} session={} "
+        "lease_ms={}",
+        start.task_, start.run_, start.worker_->id_.value_, start.fence_.value_,
+        start.call_.value_, start.session_.value_, start.lease_.ms_);
     backend_->Send(start);
   }
   void Execute(const StopRun& stop) {
-    spdlog::info("event=stop task={} run={} worker={}", stop.task_, stop.run_,
-                 stop.worker_->id_.value_);
+    spdlog::info("event=stop task={} run={} worker={} call={} reason={}",
+                 stop.task_, stop.run_, stop.worker_->id_.value_,
+                 stop.call_.value_, stop.reason_);
     backend_->Send(stop);
   }
   void Execute(const PollWorker& hold) { backend_->Send(hold); }
@@ -338,6 +364,22 @@
                  lost.reason_);
     ownership_.OwnershipLost(lost.worker_);
   }
+  void Execute(const RunOver& over) {
+    spdlog::info("event=run-over task={} run={} worker={} reason={}",
+                 over.task_, over.run_, over.worker_.value_,
+                 Name(over.reason_));
+  }
+  void Execute(const PollFailed& poll) {
+    spdlog::warn(
+        "event=hold-failed call={} worker={} result={} failures={} runs={}",
+        poll.call_.value_, poll.worker_.value_, Name(poll.result_),
+        poll.failures_, poll.runs_);
+  }
+  void Execute(const WorkerRestarted& worker) {
+    spdlog::warn("event=worker-restarted worker={} from={} to={} runs={}",
+                 worker.worker_.value_, worker.from_ms_, worker.to_ms_,
+                 worker.runs_);
+  }
   void Execute(const PublishRecord& publish) {
     spdlog::info("event=publish workers={} draining={}",
                  publish.record_.workers_.size(), publish.record_.draining_);
--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -72,6 +72,8 @@
   count("tasks_expired", owner.expired_);
   count("tasks_withdrawn", owner.cancelled_);
   count("foreign_runs", owner.foreign_runs_);
+  count("runs_inferred_over", owner.runs_inferred_over_);
+  count("workers_restarted", owner.workers_restarted_);
   count("workers_set_aside", owner.ejections_);
   count("links_opened", mesh.links_opened_);
   count("links_lost", mesh.links_lost_);
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -131,6 +131,7 @@
     jobs_by_request_.erase(job.request_.value_);
     job.request_ = submit.request_;
     jobs_by_request_[submit.request_.value_] = existing->second;
+    out->push_back(JobRejoined{spec.id_, now - job.accepted_});
     return;
   }
   const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_);
@@ -305,6 +306,8 @@
     return Abandon(ref.job_, "moved-often", out);
   }
   ++stats_.tasks_reassigned_;
+  out->push_back(
+      TaskReassigned{job.spec_->id_, ref.step_, ref.index_, owner, ended.end_});
   PlaceReady(ref.job_, now, out);
 }
 
@@ -334,7 +337,7 @@
     }
   }
   for (auto& [name, withdraw] : by_owner) {
-    out->push_back(SendCancel{{name}, std::move(withdraw)});
+    out->push_back(SendCancel{{name}, std::move(withdraw), job->spec_->id_});
   }
 }
 
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -80,10 +80,26 @@
 struct SendCancel {
   InstanceName owner_;
   CancelTasks cancel_;
+  std::string job_;  ///< Id of the job; for logs.
 };
 
-using CoordinatorCommand =
-    std::variant<AnswerHostedJob, SendAssign, SendCancel>;
+/// Tells that a task that ended without a result is placed again; for logs.
+struct TaskReassigned {
+  std::string job_;
+  uint32_t step_ = 0;
+  uint32_t index_ = 0;
+  InstanceName owner_;  ///< That reported the end.
+  TaskEnd end_ = TaskEnd::kLost;
+};
+
+/// Tells that a caller sent a job again that is open here; for logs.
+struct JobRejoined {
+  std::string job_;
+  Duration age_;
+};
+
+using CoordinatorCommand = std::variant<AnswerHostedJob, SendAssign, SendCancel,
+                                        TaskReassigned, JobRejoined>;
 using CoordinatorOutbox = std::vector<CoordinatorCommand>;
 
 struct JobCoordinatorStats {
--- a/src/leased_worker.h
+++ b/src/leased_worker.h
@@ -129,6 +129,27 @@
   kRefused,
 };
 
+/// Stable name for logs, such as `refused`.
+constexpr std::string_view Name(TaskEnd end) {
+  switch (end) {
+    case TaskEnd::kDone:
+      return "done";
+    case TaskEnd::kFailed:
+      return "failed";
+    case TaskEnd::kLost:
+      return "lost";
+    case TaskEnd::kExpired:
+      return "expired";
+    case TaskEnd::kUnknown:
+      return "unknown";
+    case TaskEnd::kCancelled:
+      return "cancelled";
+    case TaskEnd::kRefused:
+      return "refused";
+  }
+  return "unknown";
+}
+
 /// Reports the end of a task to the instance that assigned it.
 struct TaskEnded {
   TaskSerial serial_;
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -134,8 +134,9 @@
   const std::unique_ptr<Link> owned = std::move(found->second);
   links_.erase(found);
   bufferevent_free(owned->socket_);
+  const Duration silence = clock_.Now() - owned->last_received_;
   if (!owned->outgoing_) {
-    if (owned->ready_) events_.session_ended_(owned->session_);
+    if (owned->ready_) events_.session_ended_(owned->session_, silence);
     return;
   }
   const auto current = owners_.find(owned->peer_.name_.value_);
@@ -144,7 +145,7 @@
   }
   if (!owned->ready_) return;
   ++stats_.links_lost_;
-  events_.owner_lost_(owned->peer_.name_);
+  events_.owner_lost_(owned->peer_.name_, silence);
 }
 
 void MeshLink::OnEvent(bufferevent* socket, short event_flags, void* arg) {
@@ -195,6 +196,7 @@
     link->hello_ = *hello;
     if (!link->outgoing_) {
       link->ready_ = true;
+      events_.session_started_(link->session_, hello->name_);
       Write(link, EncodeMesh(self_));
       Write(link, EncodeMesh(load_));
       return true;
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -19,15 +19,18 @@
   std::function<void(const InstanceName& owner, const std::string& data_centre,
                      const OwnerLoad& load)>
       owner_load_;
-  /// The link to an owner was lost or closed.
-  std::function<void(const InstanceName& owner)> owner_lost_;
+  /// The link to an owner was lost or closed. `silence` is the time since the
+  /// last byte was received.
+  std::function<void(const InstanceName& owner, Duration silence)> owner_lost_;
   std::function<void(const InstanceName& owner, const TaskEnded& ended)>
       task_ended_;
   std::function<void(SessionId session, const AssignTasks& assign)> assign_;
   std::function<void(SessionId session, const CancelTasks& cancel)> cancel_;
+  std::function<void(SessionId session, const InstanceName& coordinator)>
+      session_started_;
   /// Bytes were received from the peer of a session.
   std::function<void(SessionId session)> session_alive_;
-  std::function<void(SessionId session)> session_ended_;
+  std::function<void(SessionId session, Duration silence)> session_ended_;
 };
 
 struct MeshStats {
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -68,6 +68,32 @@
   return "unknown";
 }
 
+std::string_view Name(RunOverReason reason) {
+  switch (reason) {
+    case RunOverReason::kDone:
+      return "done";
+    case RunOverReason::kFailed:
+      return "failed";
+    case RunOverReason::kStopped:
+      return "stopped";
+    case RunOverReason::kLeaseExpired:
+      return "lease-expired";
+    case RunOverReason::kBroken:
+      return "broken";
+    case RunOverReason::kMissing:
+      return "missing";
+    case RunOverReason::kNeverStarted:
+      return "never-started";
+    case RunOverReason::kLeaseOver:
+      return "lease-over";
+    case RunOverReason::kRestarted:
+      return "worker-restarted";
+    case RunOverReason::kOutOfReach:
+      return "out-of-reach";
+  }
+  return "unknown";
+}
+
 std::string_view Name(PollResult result) {
   switch (result) {
     case PollResult::kListed:
@@ -172,7 +198,10 @@
   const bool restarted = before->started_ms_ != worker.started_ms_ &&
                          before->started_ms_ != 0 && worker.started_ms_ != 0;
   if (restarted) {
-    DropRuns(owned, /*provably_over=*/true, now, out);
+    ++stats_.workers_restarted_;
+    out->push_back(WorkerRestarted{worker.id_, before->started_ms_,
+                                   worker.started_ms_, owned->runs_.size()});
+    DropRuns(owned, RunOverReason::kRestarted, now, out);
     owned->last_seen_ = 0;
     owned->incarnation_since_ = now;
     owned->clock_known_ = false;
@@ -203,7 +232,10 @@
                               SchedulerOutbox* out) {
   Worker* owned = FindWorker(worker.value_);
   if (owned == nullptr) return;
-  DropRuns(owned, now > owned->lease_until_ + kLeaseOverrun, now, out);
+  const bool lease_over = now > owned->lease_until_ + kLeaseOverrun;
+  DropRuns(owned,
+           lease_over ? RunOverReason::kLeaseOver : RunOverReason::kOutOfReach,
+           now, out);
   workers_.erase(worker.value_);
   ++load_version_;
 }
@@ -278,7 +310,7 @@
       run.task_->started_ = true;
       Report(*run.task_, TaskEnd::kCancelled, out);
       run.task_.reset();
-      RequestStop(&worker, &run, now, out);
+      RequestStop(&worker, &run, "cancelled", now, out);
     }
   }
   ++load_version_;
@@ -329,10 +361,12 @@
   out->emplace_back(std::move(poll));
 }
 
-void WorkerScheduler::RequestStop(Worker* worker, Run* run, Time now,
+void WorkerScheduler::RequestStop(Worker* worker, Run* run,
+                                  std::string_view reason, Time now,
                                   SchedulerOutbox* out) {
   if (run->state_ == RunState::kStopping) return;
   run->state_ = RunState::kStopping;
+  run->stop_reason_ = reason;
   SendStop(worker, run, now, out);
 }
 
@@ -348,6 +382,7 @@
   stop.task_ = run->name_;
   stop.run_ = run->number_;
   stop.fence_ = worker->fence_;
+  stop.reason_ = run->stop_reason_;
   out->emplace_back(std::move(stop));
 }
 
@@ -369,17 +404,24 @@
   ++load_version_;
 }
 
-void WorkerScheduler::DropRuns(Worker* worker, bool provably_over, Time now,
+void WorkerScheduler::NoteOver(const Worker& worker, const Run& run,
+                               RunOverReason reason, SchedulerOutbox* out) {
+  out->push_back(RunOver{worker.info_->id_, run.name_, run.number_, reason});
+}
+
+void WorkerScheduler::DropRuns(Worker* worker, RunOverReason reason, Time now,
                                SchedulerOutbox* out) {
   std::vector<Run> runs;
   runs.swap(worker->runs_);
   worker->free_ = worker->info_->capacity_;
   for (Run& run : runs) {
+    NoteOver(*worker, run, reason, out);
+    if (reason != RunOverReason::kOutOfReach) ++stats_.runs_inferred_over_;
     if (!run.task_) continue;
-    if (provably_over) {
-      Requeue(std::move(*run.task_), *worker, now, out);
-    } else {
+    if (reason == RunOverReason::kOutOfReach) {
       Report(*run.task_, TaskEnd::kUnknown, out);
+    } else {
+      Requeue(std::move(*run.task_), *worker, now, out);
     }
   }
   ++load_version_;
@@ -397,7 +439,7 @@
     if (worker.poll_failures_ > 0 && had_runs &&
         now > worker.lease_until_ + kLeaseOverrun) {
       worker.confirmed_ = false;
-      DropRuns(&worker, /*provably_over=*/true, now, out);
+      DropRuns(&worker, RunOverReason::kLeaseOver, now, out);
     }
     if (now >= worker.next_poll_at_) {
       if (worker.poll_failures_ > 0 || !worker.confirmed_) {
@@ -454,7 +496,7 @@
     for (Run& run : worker.runs_) {
       if (run.task_) Report(*run.task_, TaskEnd::kUnknown, out);
       run.task_.reset();
-      RequestStop(&worker, &run, now, out);
+      RequestStop(&worker, &run, "resumed-after-pause", now, out);
     }
     SendPoll(&worker, /*immediate=*/true, now, out);
   }
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -19,6 +19,8 @@
   std::shared_ptr<const std::string> payload_;
   Fence fence_;
   int64_t lease_until_ms_ = 0;  ///< On the worker's clock.
+  SessionId session_;           ///< That assigned the task; for logs.
+  Duration lease_;              ///< Granted with the start; for logs.
 };
 
 /// Stops a run. If its start has not arrived yet, the worker will refuse it.
@@ -28,6 +30,7 @@
   std::string task_;
   uint32_t run_ = 1;
   Fence fence_;
+  std::string_view reason_;  ///< Why the run is stopped; for logs.
 };
 
 /// Poll: a long poll that lists the runs of a worker and renews the lease of
@@ -55,8 +58,62 @@
   std::string_view reason_;
 };
 
+/// A worker's answer to a poll.
+enum class PollResult : uint8_t {
+  kListed,
+  kStaleFence,
+  kOtherIncarnation,
+  kUnanswered,  ///< No answer, or an incomplete or malformed one.
+};
+
+/// Stable name for logs, such as `unanswered`.
+std::string_view Name(PollResult result);
+
+/// Why a run no longer counts as using its worker.
+enum class RunOverReason : uint8_t {
+  kDone,
+  kFailed,
+  kStopped,
+  kLeaseExpired,
+  kBroken,
+  kMissing,       ///< Lists that would have to show it don't.
+  kNeverStarted,  ///< The worker can't carry out its start any more.
+  kLeaseOver,     ///< Its worker is silent and the lease has ended here.
+  kRestarted,     ///< Its worker has started again.
+  kOutOfReach,    ///< Its worker was lost or released while it may run.
+};
+
+/// Stable name for logs, such as `lease-expired`.
+std::string_view Name(RunOverReason reason);
+
+/// Tells that a run no longer counts as using its worker; for logs and metrics.
+struct RunOver {
+  WorkerId worker_;
+  std::string task_;
+  uint32_t run_ = 0;
+  RunOverReason reason_ = RunOverReason::kDone;
+};
+
+/// Tells that a poll ended without a list; for logs.
+struct PollFailed {
+  WorkerCallId call_;
+  WorkerId worker_;
+  PollResult result_ = PollResult::kUnanswered;
+  uint32_t failures_ = 0;  ///< Consecutive ones, this one included.
+  size_t runs_ = 0;        ///< Runs that count as using the worker.
+};
+
+/// Tells that a worker's incarnation has changed; for logs and metrics.
+struct WorkerRestarted {
+  WorkerId worker_;
+  int64_t from_ms_ = 0;  ///< Start time of the incarnation known before.
+  int64_t to_ms_ = 0;
+  size_t runs_ = 0;  ///< Runs that were counted as using it.
+};
+
 using SchedulerCommand =
-    std::variant<StartRun, StopRun, PollWorker, ReportTask, WorkerLost>;
+    std::variant<StartRun, StopRun, PollWorker, ReportTask, WorkerLost, RunOver,
+                 WorkerRestarted, PollFailed>;
 using SchedulerOutbox = std::vector<SchedulerCommand>;
 
 /// A worker's answer to a start.
@@ -113,17 +170,6 @@
   RunEnd end_ = RunEnd::kFailed;
 };
 
-/// A worker's answer to a poll.
-enum class PollResult : uint8_t {
-  kListed,
-  kStaleFence,
-  kOtherIncarnation,
-  kUnanswered,  ///< No answer, or an incomplete or malformed one.
-};
-
-/// Stable name for logs, such as `unanswered`.
-std::string_view Name(PollResult result);
-
 /// A `PollWorker` call has ended, answered or not.
 struct PollEnded {
   WorkerCallId call_;
@@ -165,7 +211,11 @@
   uint64_t expired_ = 0;
   uint64_t cancelled_ = 0;
   uint64_t foreign_runs_ = 0;  ///< Runs of other owners, found and stopped.
-  uint64_t ejections_ = 0;     ///< Times a failing worker was ejected.
+  uint64_t workers_restarted_ = 0;
+  /// Runs whose end no list has shown, by evidence: absence from lists, end of
+  /// the lease, restart of the worker.
+  uint64_t runs_inferred_over_ = 0;
+  uint64_t ejections_ = 0;  ///< Times a failing worker was ejected.
 };
 
 /// Owner of leased workers: schedules tasks on them and never overbooks them.
@@ -281,7 +331,8 @@
     bool inherited_ = false;  ///< Started by another owner.
     /// When the start was answered or the run was first listed.
     std::optional<Time> start_seen_at_;
-    bool stop_pending_ = false;   ///< A stop call is in progress.
+    bool stop_pending_ = false;  ///< A stop call is in progress.
+    std::string_view stop_reason_;
     bool stop_answered_ = false;  ///< Any stop was answered.
     Time next_stop_at_;  ///< When to stop again or look again for the end.
     /// When its stop was answered. A run that had not started by then never
@@ -363,7 +414,8 @@
   /// it can't start any more.
   void Requeue(Task task, const Worker& worker, Time now, SchedulerOutbox* out);
   void Report(const Task& task, TaskEnd end, SchedulerOutbox* out);
-  void RequestStop(Worker* worker, Run* run, Time now, SchedulerOutbox* out);
+  void RequestStop(Worker* worker, Run* run, std::string_view reason, Time now,
+                   SchedulerOutbox* out);
   void RemoveRun(Worker* worker, uint64_t key);
   void EndRun(Worker* worker, const Run& run, RunEnd end, Time now,
               SchedulerOutbox* out);
@@ -374,9 +426,11 @@
   /// Stops a run that progresses too slowly, to start it on another worker.
   void CheckProgress(Worker* worker, Run* run, double percent, Time now,
                      SchedulerOutbox* out);
-  /// Removes all runs of a worker. Their tasks are queued again if they are
-  /// `provably_over`, and reported as unknown if not.
-  void DropRuns(Worker* worker, bool provably_over, Time now,
+  static void NoteOver(const Worker& worker, const Run& run,
+                       RunOverReason reason, SchedulerOutbox* out);
+  /// Removes all runs of a worker. Their tasks are reported as unknown if the
+  /// reason is `kOutOfReach`, and queued again if not.
+  void DropRuns(Worker* worker, RunOverReason reason, Time now,
                 SchedulerOutbox* out);
   void Eject(Worker* worker, Time now);
   void UpdateSlowness(Worker* worker, const Run& run, Time now);
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -36,6 +36,22 @@
 /// Share of the expected run time before which progress is not checked.
 constexpr double kMinProgressShare = 0.85;
 
+RunOverReason ToReason(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return RunOverReason::kDone;
+    case RunEnd::kFailed:
+      return RunOverReason::kFailed;
+    case RunEnd::kStopped:
+      return RunOverReason::kStopped;
+    case RunEnd::kLeaseExpired:
+      return RunOverReason::kLeaseExpired;
+    case RunEnd::kBroken:
+      break;
+  }
+  return RunOverReason::kBroken;
+}
+
 /// Returns the key of a run within a list of runs.
 std::string RunKey(const std::string& task, uint32_t run) {
   return task + "#" + std::to_string(run);
@@ -134,6 +150,8 @@
   if (ended.result_ != PollResult::kListed) {
     ++stats_.polls_failed_;
     const uint32_t doublings = std::min<uint32_t>(worker->poll_failures_++, 3);
+    out->push_back(PollFailed{ended.call_, worker->info_->id_, ended.result_,
+                              worker->poll_failures_, worker->runs_.size()});
     worker->next_poll_at_ =
         now +
         std::min(Duration{kPollBackoff.ms_ << doublings}, kMaxPollBackoff);
@@ -194,6 +212,7 @@
     worker->free_ += run.need_;
     worker->runs_.erase(found);
     ++load_version_;
+    NoteOver(*worker, run, ToReason(finished.end_), out);
     EndRun(worker, run, finished.end_, now, out);
   }
   worker->last_seen_ = seen;
@@ -252,7 +271,7 @@
     if (run.start_uncertain_since_ && sent >= *run.start_uncertain_since_) {
       // The start was lost or is late; a stop keeps it from being carried out.
       run.start_uncertain_since_.reset();
-      RequestStop(worker, &run, now, out);
+      RequestStop(worker, &run, "start-unanswered", now, out);
     }
     // A started run that isn't listed may be in the middle of a stop, which a
     // new owner or a delayed order of this one may have caused.
@@ -273,6 +292,11 @@
     const auto found =
         std::find_if(worker->runs_.begin(), worker->runs_.end(),
                      [&](const Run& run) { return run.key_ == key; });
+    ++stats_.runs_inferred_over_;
+    NoteOver(*worker, *found,
+             found->start_seen_at_ ? RunOverReason::kMissing
+                                   : RunOverReason::kNeverStarted,
+             out);
     std::optional<Task> task = std::move(found->task_);
     RemoveRun(worker, key);
     if (task) Requeue(std::move(*task), *worker, now, out);
@@ -288,7 +312,7 @@
     run.number_ = running.run_;
     run.start_seen_at_ = now;
     run.inherited_ = true;
-    RequestStop(worker, &run, now, out);
+    RequestStop(worker, &run, "inherited", now, out);
   }
 }
 
@@ -307,7 +331,7 @@
   ++stats_.stalled_;
 
   if (now >= worker->ejected_until_) Eject(worker, now);
-  RequestStop(worker, run, now, out);
+  RequestStop(worker, run, "stalled", now, out);
 }
 
 }  // namespace gentiandeal
--- a/src/worker_scheduler_queue.cc
+++ b/src/worker_scheduler_queue.cc
@@ -170,8 +170,10 @@
   start.run_ = run.number_;
   start.payload_ = task.batch_->payload_;
   start.fence_ = worker->fence_;
+  start.session_ = task.session_;
   run.task_ = std::move(task);
   run.start_valid_until_ms_ = start.lease_until_ms_ = RenewLease(worker, now);
+  start.lease_ = LeaseFor(*worker, now);
   out->emplace_back(std::move(start));
 }
 
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -232,6 +232,12 @@
   void Do(size_t index, const UpdateWorker& update);
   void Do(size_t index, const DrainWorker& retire);
   void Do(size_t index, const ReleaseWorker& disown);
+  // Only logged by instances.
+  void Do(size_t /*index*/, const RunOver& /*over*/) {}
+  void Do(size_t /*index*/, const WorkerRestarted& /*worker*/) {}
+  void Do(size_t /*index*/, const PollFailed& /*poll*/) {}
+  void Do(size_t /*index*/, const TaskReassigned& /*task*/) {}
+  void Do(size_t /*index*/, const JobRejoined& /*job*/) {}
   /// Sends over the link between two instances, in order.
   void ToOwner(size_t from, size_t to,
                const std::function<void(Instance*, SessionId)>& run);
