Show three ways to two runs of a task in unit cases that fail

- stops unanswered while polls are answered: the lease of a cancelled run is renewed without end (until 2.90 s after the cancellation; the caller may be back after 1.3 s)
- a store entry of a worker's earlier incarnation, read after a poll has shown the present one: 4 live tasks are started again, 8 starts in all
- a start that the worker's new incarnation accepted before the owner knew of it: the task is started again although the new one lists the run

--- /dev/null
+++ b/tests/unit/single_run_test.cc
@@ -0,0 +1,129 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "unit/worker_scheduler_fixture.h"
+
+namespace gentiandeal {
+namespace {
+
+/// Callers resubmit a lost job no sooner than this after the loss.
+constexpr Duration kResendDelay{1300};
+constexpr Duration kStopTimeout{50};
+
+/// Workers that answer each poll with what they run.
+struct SingleRunFixture : WorkerSchedulerFixture {
+  std::map<std::string, int64_t> incarnations_;
+  std::map<std::string, std::vector<RunningRun>> running_;
+
+  void AnswerPolls() {
+    for (const PollWorker& poll : All<PollWorker>()) {
+      if (!answered_.insert(poll.call_.value_).second) continue;
+      const std::string& worker = poll.worker_->id_.value_;
+      PollEnded ended = Listing(poll.call_);
+      ended.started_ms_ = incarnations_.emplace(worker, 7).first->second;
+      ended.running_ = running_[worker];
+      owner_.On(ended, now_, &out_);
+    }
+  }
+
+  void Play(int64_t ms) {
+    for (int64_t i = 0; i < ms; i += 20) {
+      Advance(20);
+      AnswerPolls();
+    }
+  }
+
+  void AcquireAndConfirm(const std::string& id, int32_t cpu = 32000) {
+    owner_.Acquire(MakeWorker(id, cpu), Fence{5}, now_, &out_);
+    Play(400);
+  }
+
+  /// Answers all starts, which from then on are listed as running.
+  void RunAll() {
+    for (const StartRun& start : All<StartRun>()) {
+      if (!answered_.insert(start.call_.value_).second) continue;
+      AnswerStart(start);
+      running_[start.worker_->id_.value_].push_back(
+          {start.task_, start.run_, 20});
+    }
+  }
+
+  /// Latest end of a lease that any order has granted, on the workers' clock.
+  int64_t LatestLease() const {
+    int64_t last = 0;
+    for (const PollWorker& poll : All<PollWorker>()) {
+      last = std::max(last, poll.lease_until_ms_.value_or(0));
+    }
+    for (const StartRun& start : All<StartRun>()) {
+      last = std::max(last, start.lease_until_ms_);
+    }
+    return last;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(single_run, SingleRunFixture)
+
+// Guards against two runs of a task after a cancellation: the worker leaves
+// stops unanswered but answers polls, and other runs keep its lease renewed.
+BOOST_AUTO_TEST_CASE(ACancelledRunEndsByItsLeaseWhenStopsAreUnanswered) {
+  AcquireAndConfirm("w");
+  const AssignTasks cancelled = Assign(1);
+  Assign(1);
+  RunAll();
+  Advance(20);
+  owner_.On(kLocalSession, CancelTasks{{cancelled.tasks_[0].serial_}}, now_,
+            &out_);
+  const int64_t resubmitted = WorkerClock() + kResendDelay.ms_;
+  size_t stops = 0;
+  for (int i = 0; i < 100; ++i) {
+    Play(20);
+    const auto sent = All<StopRun>();
+    for (; stops < sent.size(); ++stops) {
+      owner_.On(StopEnded{sent[stops].call_, false}, now_, &out_);
+    }
+  }
+  BOOST_TEST(stops > 3U);
+  BOOST_TEST(LatestLease() <= resubmitted - kStopTimeout.ms_);
+}
+
+// Guards against two runs of a task after a worker has restarted: the store
+// lists its earlier incarnation once more, and the runs of the present one
+// are taken for ended.
+BOOST_AUTO_TEST_CASE(AnEntryOfAnEarlierIncarnationEndsNoRun) {
+  AcquireAndConfirm("w");
+  AcquireAndConfirm("x");
+  LeasedWorker restarted = MakeWorker("w");
+  restarted.started_ms_ = incarnations_["w"] = 8;
+  owner_.Update(restarted, now_, &out_);
+  Play(400);
+  Assign(4);
+  RunAll();
+  BOOST_REQUIRE(All<StartRun>().size() == 4U);
+  Advance(20);
+  owner_.Update(MakeWorker("w"), now_, &out_);
+  Play(200);
+  BOOST_TEST(All<ReportTask>().empty());
+  BOOST_TEST(owner_.waiting() == 0U);
+  BOOST_TEST(All<StartRun>().size() == 4U);
+  BOOST_TEST(All<StopRun>().empty());
+}
+
+// Guards against two runs of a task after a worker has restarted under its
+// identifier: the start arrived after the restart, which the owner learns
+// later.
+BOOST_AUTO_TEST_CASE(ARunThatTheNewIncarnationListsIsNotStartedAgain) {
+  AcquireAndConfirm("w");
+  incarnations_["w"] = 8;
+  Assign(1);
+  RunAll();
+  Play(20);
+  AcquireAndConfirm("x");
+  BOOST_TEST(owner_.waiting() == 0U);
+  BOOST_TEST(All<StartRun>().size() == 1U);
+  BOOST_TEST(All<StopRun>().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace gentiandeal
