Keep the runs of a restarted worker until its lists show their end

Cause: a changed start time of a worker made its owner count all runs there as over and start their tasks again at once. That is wrong in two cases. The store may list the earlier incarnation after a poll has shown the present one (it was away, or its watch is late): four live tasks were started again. And a worker that restarts under its identifier accepts starts before the owner knows: the run that the new incarnation lists was started again.

Why it works: incarnations that were left never come back, and a restart ends no run by itself. Lists of the present incarnation, asked for after the change, show for each run whether it is there, as they do for a run that goes missing: two of them, one stop timeout apart. The worker is fenced and confirmed anew, since it has forgotten fences; its lease is reckoned longer, as a start made for the clock before grants the longest lease. A task whose run did end with the worker starts again some 100 ms later than before.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -7,8 +7,12 @@
 namespace {
 
 /// How long a run may outlast its lease: the worker's clock may be 2 % slow,
-/// and ending a run takes up to the stop timeout of 50 ms.
-constexpr Duration kLeaseOverrun{120};
+/// ending a run takes up to the stop timeout of 50 ms, and a worker that has
+/// restarted meanwhile grants the longest lease, 100 ms more.
+constexpr Duration kLeaseOverrun{200};
+
+/// Earlier incarnations of a worker that are remembered.
+constexpr size_t kMaxEarlierIncarnations = 8;
 
 /// Workers answer a start within milliseconds. A start unanswered for this long
 /// is checked with a poll, and the run is stopped if it isn't listed.
@@ -86,8 +90,6 @@
       return "never-started";
     case RunOverReason::kLeaseOver:
       return "lease-over";
-    case RunOverReason::kRestarted:
-      return "worker-restarted";
     case RunOverReason::kOutOfReach:
       return "out-of-reach";
   }
@@ -193,29 +195,49 @@
                              SchedulerOutbox* out) {
   Worker* owned = FindWorker(worker.id_.value_);
   if (owned == nullptr || *owned->info_ == worker) return;
+  const auto& earlier = owned->earlier_incarnations_;
+  if (std::find(earlier.begin(), earlier.end(), worker.started_ms_) !=
+      earlier.end()) {
+    return;  // The store has not seen the present incarnation yet.
+  }
   const LeasedWorkerRef before = owned->info_;
   owned->info_ = std::make_shared<const LeasedWorker>(worker);
+  owned->free_ += worker.capacity_;
+  owned->free_ -= before->capacity_;
   const bool restarted = before->started_ms_ != worker.started_ms_ &&
                          before->started_ms_ != 0 && worker.started_ms_ != 0;
-  if (restarted) {
-    ++stats_.workers_restarted_;
-    out->push_back(WorkerRestarted{worker.id_, before->started_ms_,
-                                   worker.started_ms_, owned->runs_.size()});
-    DropRuns(owned, RunOverReason::kRestarted, now, out);
-    owned->last_seen_ = 0;
-    owned->incarnation_since_ = now;
-    owned->clock_known_ = false;
-    owned->fenced_since_.reset();
-    owned->consecutive_failures_ = owned->ejections_ = 0;
-    owned->slowness_ = 1;
-  } else {
-    owned->free_ += worker.capacity_;
-    owned->free_ -= before->capacity_;
-  }
+  if (restarted) ChangeIncarnation(owned, before->started_ms_, now, out);
   ++load_version_;
   StartWaiting(now, out);
 }
 
+void WorkerScheduler::ChangeIncarnation(Worker* worker, int64_t earlier_ms,
+                                        Time now, SchedulerOutbox* out) {
+  ++stats_.workers_restarted_;
+  out->push_back(WorkerRestarted{worker->info_->id_, earlier_ms,
+                                 worker->info_->started_ms_,
+                                 worker->runs_.size()});
+  auto& earlier = worker->earlier_incarnations_;
+  earlier.push_back(earlier_ms);
+  if (earlier.size() > kMaxEarlierIncarnations) earlier.erase(earlier.begin());
+  worker->last_seen_ = 0;
+  worker->incarnation_since_ = now;
+  worker->clock_known_ = false;
+  worker->confirmed_ = false;
+  worker->fenced_since_.reset();
+  worker->consecutive_failures_ = worker->ejections_ = 0;
+  worker->slowness_ = 1;
+  for (Run& run : worker->runs_) {
+    // Only lists of this incarnation count from now on.
+    if (run.start_seen_at_) run.start_seen_at_ = now;
+    run.missing_since_.reset();
+    run.stop_answered_at_.reset();
+    run.stop_answered_ = false;
+    run.start_valid_until_ms_ = 0;
+  }
+  SendPoll(worker, /*immediate=*/true, now, out);
+}
+
 void WorkerScheduler::DrainWorker(const WorkerId& worker) {
   Worker* owned = FindWorker(worker.value_);
   if (owned == nullptr || owned->draining_) return;
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -79,7 +79,6 @@
   kMissing,       ///< Lists that would have to show it don't.
   kNeverStarted,  ///< The worker can't carry out its start any more.
   kLeaseOver,     ///< Its worker is silent and the lease has ended here.
-  kRestarted,     ///< Its worker has started again.
   kOutOfReach,    ///< Its worker was lost or released while it may run.
 };
 
@@ -348,6 +347,9 @@
     Resources free_;
     std::vector<Run> runs_;
     Time incarnation_since_;  ///< When its present incarnation became known.
+    /// Start times of its last known earlier incarnations, which the store may
+    /// still list.
+    std::vector<int64_t> earlier_incarnations_;
     /// A poll with this fence has listed its runs, and none that an earlier
     /// owner was stopping can be left.
     bool confirmed_ = false;
@@ -389,6 +391,11 @@
   /// stays silent; absent for the local session, which needs no limit.
   std::optional<Time> SessionLeaseLimit(SessionId session) const;
   Duration LeaseFor(const Worker& worker, Time now) const;
+  /// Starts to use the incarnation in `info_` in place of the one that started
+  /// at `earlier_ms`. Runs are kept until lists show whether they ended with
+  /// the earlier incarnation or were started on this one.
+  void ChangeIncarnation(Worker* worker, int64_t earlier_ms, Time now,
+                         SchedulerOutbox* out);
   /// Extends the lease of a worker. @returns its end on the worker's clock.
   int64_t RenewLease(Worker* worker, Time now) const;
   static bool HasInheritedRun(const Worker& worker);
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -165,7 +165,7 @@
     LeasedWorker restarted = *worker->info_;
     restarted.started_ms_ = ended.started_ms_;
     Update(restarted, now, out);
-    worker->confirmed_ = false;
+    if (worker->info_->started_ms_ != ended.started_ms_) return;
   }
   const uint64_t version = load_version_;
   const bool was_usable = Usable(*worker, now);
