Bound the lease of a run that nobody awaits any more

Cause: a run limits the lease of its worker only while a task is attached to it. Once its task was cancelled, its session ended or it was inherited, only the stop ended it. If the worker left stops unanswered but answered polls or starts, these renewed the lease of all its runs, while the caller, told 502 or gone, submitted the job again after resend_ms.

Evidence: ACancelledRunEndsByItsLeaseWhenStopsAreUnanswered saw a lease until 2.90 s after the cancellation, where 1.25 s are allowed; now it holds.

Why it works: a detached run keeps a time by which it must have ended: that of its session's silence, or resend_ms less the stop timeout after the cancellation at this instance. The lease of its worker never goes beyond. A worker whose lease can't reach the renewal threshold gets no new runs, which would end with it.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -134,10 +134,20 @@
     SessionId session) const {
   const auto heard = last_heard_.find(session.value_);
   if (heard == last_heard_.end()) return std::nullopt;
+  return ResubmissionLimit(heard->second);
+}
+
+Time WorkerScheduler::ResubmissionLimit(Time lost_at) const {
   const double limit =
       kMinClockRate *
       static_cast<double>((limits_.resend_delay_ - limits_.stop_timeout_).ms_);
-  return heard->second + Duration{static_cast<int64_t>(limit)};
+  return lost_at + Duration{static_cast<int64_t>(limit)};
+}
+
+void WorkerScheduler::Detach(Run* run, Time now) const {
+  const auto session_limit = SessionLeaseLimit(run->task_->session_);
+  run->must_end_by_ = session_limit.value_or(ResubmissionLimit(now));
+  run->task_.reset();
 }
 
 // A worker has one lease for all its runs, so the session that has been silent
@@ -145,13 +155,22 @@
 Duration WorkerScheduler::LeaseFor(const Worker& worker, Time now) const {
   Duration lease = limits_.lease_;
   for (const Run& run : worker.runs_) {
-    if (!run.task_) continue;
-    const auto until = SessionLeaseLimit(run.task_->session_);
+    const auto until =
+        run.task_ ? SessionLeaseLimit(run.task_->session_) : run.must_end_by_;
     if (until) lease = std::min(lease, *until - now);
   }
   return std::max(lease, Duration{0});
 }
 
+bool WorkerScheduler::CanLease(const Worker& worker, SessionId session,
+                               Time now) const {
+  if (LeaseFor(worker, now) < limits_.renew_below_) return false;
+  const auto until = SessionLeaseLimit(session);
+  // A lease never shortens, so the run could last until its end.
+  return !until || (worker.lease_until_ <= *until &&
+                    *until - now >= limits_.renew_below_);
+}
+
 // `clock_ms_` is older than `clock_read_` by the transit time of the answer, so
 // the worker's clock is ahead of this estimate: a lease may end early but never
 // late.
@@ -331,7 +350,7 @@
       if (!run.task_ || !wanted(*run.task_)) continue;
       run.task_->started_ = true;
       Report(*run.task_, TaskEnd::kCancelled, out);
-      run.task_.reset();
+      Detach(&run, now);
       RequestStop(&worker, &run, "cancelled", now, out);
     }
   }
@@ -344,7 +363,6 @@
 
 void WorkerScheduler::EndSession(SessionId session, Time now,
                                  SchedulerOutbox* out) {
-  last_heard_.erase(session.value_);
   CancelTasks all;
   for (const Task& task : queue_) {
     if (task.session_ == session) all.tasks_.push_back(task.serial_);
@@ -357,6 +375,7 @@
     }
   }
   if (!all.tasks_.empty()) On(session, all, now, out);
+  last_heard_.erase(session.value_);
 }
 
 void WorkerScheduler::SendPoll(Worker* worker, bool immediate, Time now,
@@ -376,7 +395,7 @@
   // earlier owner are not kept alive. Nor is it renewed after a failed poll, as
   // the runs of an unresponsive worker must end at a known time.
   if (worker->clock_known_ && worker->confirmed_ &&
-      worker->poll_failures_ == 0) {
+      worker->poll_failures_ == 0 && LeaseFor(*worker, now) > Duration{0}) {
     poll.lease_until_ms_ = RenewLease(worker, now);
   }
   poll.wait_ = immediate ? Duration{0} : limits_.poll_wait_;
@@ -516,8 +535,10 @@
   for (auto& [id, worker] : workers_) {
     worker.confirmed_ = false;
     for (Run& run : worker.runs_) {
-      if (run.task_) Report(*run.task_, TaskEnd::kUnknown, out);
-      run.task_.reset();
+      if (run.task_) {
+        Report(*run.task_, TaskEnd::kUnknown, out);
+        Detach(&run, now);
+      }
       RequestStop(&worker, &run, "resumed-after-pause", now, out);
     }
     SendPoll(&worker, /*immediate=*/true, now, out);
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -330,6 +330,9 @@
     bool inherited_ = false;  ///< Started by another owner.
     /// When the start was answered or the run was first listed.
     std::optional<Time> start_seen_at_;
+    /// By which its lease must end although no stop was answered; set when
+    /// nobody awaits its end.
+    std::optional<Time> must_end_by_;
     bool stop_pending_ = false;  ///< A stop call is in progress.
     std::string_view stop_reason_;
     bool stop_answered_ = false;  ///< Any stop was answered.
@@ -390,7 +393,16 @@
   /// Returns the time by which the leases of a session's runs must end if it
   /// stays silent; absent for the local session, which needs no limit.
   std::optional<Time> SessionLeaseLimit(SessionId session) const;
+  /// Returns the time by which a run must have ended whose caller may have lost
+  /// its connection at `lost_at` and so submits the job again.
+  Time ResubmissionLimit(Time lost_at) const;
+  /// Detaches a run from its task, which its coordinator doesn't await any
+  /// more.
+  void Detach(Run* run, Time now) const;
   Duration LeaseFor(const Worker& worker, Time now) const;
+  /// Returns whether a run for the session can have a lease there that is long
+  /// enough to be renewed, and that ends in time if the session is lost.
+  bool CanLease(const Worker& worker, SessionId session, Time now) const;
   /// Starts to use the incarnation in `info_` in place of the one that started
   /// at `earlier_ms`. Runs are kept until lists show whether they ended with
   /// the earlier incarnation or were started on this one.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -312,6 +312,7 @@
     run.number_ = running.run_;
     run.start_seen_at_ = now;
     run.inherited_ = true;
+    run.must_end_by_ = ResubmissionLimit(now);
     RequestStop(worker, &run, "inherited", now, out);
   }
 }
--- a/src/worker_scheduler_queue.cc
+++ b/src/worker_scheduler_queue.cc
@@ -48,11 +48,9 @@
   Worker* best = nullptr;
   double best_score = 0;
   const AssignTasks& assign = task.batch_->assign_;
-  const auto until = SessionLeaseLimit(task.session_);
   for (auto& [id, worker] : workers_) {
     if (!Usable(worker, now) || !Fits(assign.need_, worker.free_)) continue;
-    // A lease never shortens, so the run could last until its end.
-    if (until && worker.lease_until_ > *until) continue;
+    if (!CanLease(worker, task.session_, now)) continue;
     if (worker.info_->pool_ != assign.pool_) continue;
     if (!HasLabel(*worker.info_, assign.label_)) continue;
     // The tightest fit leaves larger free blocks for larger tasks.
