--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -123,6 +123,25 @@
   BOOST_TEST(All<StopRun>().empty());
 }
 
+// Guards against two runs of a task whose coordinator has given it up: the
+// assignment was held back on its way, and its arrival says nothing about the
+// coordinator now.
+BOOST_AUTO_TEST_CASE(AnAssignmentThatArrivesLateStartsNothing) {
+  AcquireAndConfirm("w");
+  AssignTasks late;
+  late.name_ = "00000000000000ff.0.0";
+  late.pool_ = "pool";
+  late.need_ = kTaskResources;
+  late.expected_run_time_ = {200};
+  late.start_within_ = {500};
+  late.give_up_after_ = {1000};
+  late.tasks_ = {{{++last_serial_}, 0}};
+  owner_.NoteSessionAlive(SessionId{7}, now_ - Duration{900});
+  owner_.On(SessionId{7}, late, now_, &out_);
+  Play(100);
+  BOOST_TEST(All<StartRun>().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/worker_scheduler_test.cc
+++ b/tests/unit/worker_scheduler_test.cc
@@ -413,6 +413,7 @@
   Acquire("w");
   AssignTasks assign = Assign(1);
   assign.tasks_ = {{{++last_serial_}, 0}};
+  owner_.NoteSessionAlive(SessionId{7}, now_);
   owner_.On(SessionId{7}, assign, now_, &out_);
   const Time heard = now_;
   for (const StartRun& start : All<StartRun>()) AnswerStart(start);
@@ -445,6 +446,7 @@
   assign.start_within_ = {1000};
   assign.give_up_after_ = {1500};
   assign.tasks_ = {{{++last_serial_}, 0}};
+  owner_.NoteSessionAlive(SessionId{7}, now_);
   owner_.On(SessionId{7}, assign, now_, &out_);
   const RunningRun other{starts[1].task_, 1, 90};
   Advance(500);
