--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -256,8 +256,8 @@
     events.session_alive_ = [this](SessionId session) {
       scheduler_.NoteSessionAlive(session, clock_.Now());
     };
-    events.session_started_ = [this](SessionId session,
-                                     const InstanceName& coordinator) {
+    events.session_started_ = [](SessionId session,
+                                 const InstanceName& coordinator) {
       spdlog::info("event=session-started session={} coordinator={}",
                    session.value_, coordinator.value_);
     };
