Show three further ways to a second run in unit cases that fail

- a new owner renews the lease of a run that it inherited and can't stop
- a start that was carried out late and is being stopped is listed nowhere and counts as never started once its lease has passed
- a start that was given up is carried out by the next incarnation of its worker, which has forgotten that it was stopped

--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -142,6 +142,56 @@
   BOOST_TEST(All<StartRun>().empty());
 }
 
+// Guards against two runs of a task whose owner was killed: the next owner of
+// the worker can't stop the run it finds, and renews its lease. The callers
+// count from the loss of the owner before.
+BOOST_AUTO_TEST_CASE(ANewOwnerRenewsNoLeaseOfAnInheritedRun) {
+  running_["w"] = {{"00000000000000ff.0.0.0", 1, 20}};
+  AcquireAndConfirm("w");
+  Play(1000);
+  BOOST_TEST(LatestLease() == 0);
+}
+
+// Guards against overbooking, and a second run beside the first: a start that
+// was carried out late is being stopped, and so isn't listed.
+BOOST_AUTO_TEST_CASE(AStartPastItsLeaseMayStillBeStopping) {
+  AcquireAndConfirm("w", 14000);
+  Assign(1, kTaskResources, 500, 5000);
+  const StartRun start = Last<StartRun>();
+  owner_.On(StartEnded{start.call_, StartResult::kUnanswered, std::nullopt},
+            now_, &out_);
+  Play(20);
+  BOOST_REQUIRE(!All<StopRun>().empty());
+  now_ = now_ + Duration{1000};
+  AnswerPolls();
+  BOOST_TEST(All<StartRun>().size() == 1U);
+}
+
+// Guards against a run of a task that runs elsewhere by now: a start that got
+// no answer was stopped, but the worker has forgotten that with its restart and
+// would still carry the start out.
+BOOST_AUTO_TEST_CASE(StopsAGivenUpStartAgainAfterARestart) {
+  AcquireAndConfirm("w", 14000);
+  Assign(1);
+  const StartRun start = Last<StartRun>();
+  answered_.insert(start.call_.value_);
+  owner_.On(StartEnded{start.call_, StartResult::kUnanswered, std::nullopt},
+            now_, &out_);
+  Play(20);
+  AnswerStop(Last<StopRun>());
+  for (int i = 0; i < 10; ++i) {
+    Play(20);
+    RunAll();
+  }
+  BOOST_REQUIRE(All<StopRun>().size() == 1U);
+  incarnations_["w"] = 8;
+  running_.clear();
+  Play(200);
+  BOOST_REQUIRE(All<StopRun>().size() == 2U);
+  BOOST_TEST(Last<StopRun>().task_ == start.task_);
+  BOOST_TEST(Last<StopRun>().run_ == start.run_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
