Never renew the lease of an inherited run

Callers could see a task run twice at once (found by the random schedule with unanswered stops; not seen in the users' record).

Cause: a new owner counted the time by which an inherited run must have ended from the moment it found the run. The callers count from the loss of the owner before, which is earlier by the time of the takeover: an instance that restarts takes its workers back within half a second.

Evidence: ANewOwnerRenewsNoLeaseOfAnInheritedRun saw a lease until 1.2 s after the run was found, where none may be granted; now none is.

Why it works: only the owner before renewed the lease, so that it ends within 0.9 s and the clock's 2 % after that owner's loss, before the callers are back.

--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -312,7 +312,7 @@
     run.number_ = running.run_;
     run.start_seen_at_ = now;
     run.inherited_ = true;
-    run.must_end_by_ = ResubmissionLimit(now);
+    run.must_end_by_ = now;  // Its callers count from before.
     RequestStop(worker, &run, "inherited", now, out);
   }
 }
