Wait for a second list before a start that came too late counts as void

Callers could see a task run twice at once, and a worker overbooked (found by the random schedule with late orders and stops; not seen in the users' record).

Cause: once the worker's clock was past the lease of a start that was never seen, one list without the run freed its resources and started its task again. The start may have been carried out just before its lease ended, and a stop just before the list: a run that is being stopped is listed nowhere for up to the stop timeout.

Evidence: AStartPastItsLeaseMayStillBeStopping saw 2 starts of one task; now 1.

Why it works: as for a run that goes missing, a list that was asked for a stop timeout and its margin later has to miss it too.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -253,6 +253,7 @@
     run.stop_answered_at_.reset();
     run.stop_answered_ = false;
     run.start_valid_until_ms_ = 0;
+    run.start_expired_since_.reset();
   }
   SendPoll(worker, /*immediate=*/true, now, out);
 }
@@ -503,8 +504,8 @@
         }
       }
       needs_listing =
-          needs_listing ||
-          (run.missing_since_ && now - worker.listed_at_ > kListingInterval);
+          needs_listing || ((run.missing_since_ || run.start_expired_since_) &&
+                            now - worker.listed_at_ > kListingInterval);
       if (run.state_ == RunState::kStarting &&
           now - run.sent_at_ > kStartAnswerTimeout) {
         if (!run.start_uncertain_since_) run.start_uncertain_since_ = now;
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -342,6 +342,9 @@
     std::optional<Time> stop_answered_at_;
     /// Since when the worker lists it neither as running nor as ended.
     std::optional<Time> missing_since_;
+    /// Since when its start, which was never seen, has come too late to be
+    /// carried out.
+    std::optional<Time> start_expired_since_;
   };
 
   struct Worker {
@@ -442,6 +445,10 @@
                        SchedulerOutbox* out);
   void ProcessRunning(Worker* worker, const PollEnded& ended, Time sent,
                       Time now, SchedulerOutbox* out);
+  /// Returns whether a list without the run, asked for at `listed_after`,
+  /// proves that it has ended or will never start: it isn't being stopped by
+  /// then.
+  bool IsSettled(const Run& run, Time listed_after) const;
   /// Stops a run that progresses too slowly, to start it on another worker.
   void CheckProgress(Worker* worker, Run* run, double percent, Time now,
                      SchedulerOutbox* out);
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -279,14 +279,11 @@
         !run.missing_since_) {
       run.missing_since_ = now;
     }
-    const std::optional<Time> since =
-        run.start_seen_at_ ? run.missing_since_ : run.stop_answered_at_;
-    const bool settled = since && sent >= *since + StopSettleTime();
-    const bool too_late = !run.start_seen_at_ &&
-                          run.start_valid_until_ms_ > 0 &&
-                          ended.clock_ms_ > run.start_valid_until_ms_ &&
-                          run.state_ == RunState::kStopping;
-    if (settled || too_late) ended_keys.push_back(run.key_);
+    const bool expired = run.start_valid_until_ms_ > 0 &&
+                         ended.clock_ms_ > run.start_valid_until_ms_ &&
+                         run.state_ == RunState::kStopping;
+    if (expired && !run.start_expired_since_) run.start_expired_since_ = now;
+    if (IsSettled(run, sent)) ended_keys.push_back(run.key_);
   }
   for (const uint64_t key : ended_keys) {
     const auto found =
@@ -317,6 +314,15 @@
   }
 }
 
+bool WorkerScheduler::IsSettled(const Run& run, Time listed_after) const {
+  const auto settled_since = [&](const std::optional<Time>& since) {
+    return since && listed_after >= *since + StopSettleTime();
+  };
+  if (run.start_seen_at_) return settled_since(run.missing_since_);
+  return settled_since(run.stop_answered_at_) ||
+         settled_since(run.start_expired_since_);
+}
+
 void WorkerScheduler::CheckProgress(Worker* worker, Run* run, double percent,
                                     Time now, SchedulerOutbox* out) {
   if (run->state_ != RunState::kRunning || !run->task_) return;
