Stop given-up starts again when their worker has restarted

Callers could see a task run twice at once (found by the random schedule with late orders and workers that restart under their identifier; not seen in the users' record).

Cause: a start without an answer is stopped, and its worker then refuses it whenever it arrives. A worker that restarts under its identifier forgets that, its clock starts anew, and so it carries out the late start.

Evidence: StopsAGivenUpStartAgainAfterARestart saw no second stop; now it does.

Why it works: the owner remembers such starts for as long as orders may come late, and stops them on the new incarnation before anything else is done there. Not closed: a late start that arrives before the owner has learnt of the restart. It is then listed as inherited and stopped.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -11,6 +11,9 @@
 /// restarted meanwhile grants the longest lease, 100 ms more.
 constexpr Duration kLeaseOverrun{200};
 
+/// An order that got no answer may be carried out up to this much later.
+constexpr Duration kLateOrderLimit{15000};
+
 /// Earlier incarnations of a worker that are remembered.
 constexpr size_t kMaxEarlierIncarnations = 8;
 
@@ -255,9 +258,32 @@
     run.start_valid_until_ms_ = 0;
     run.start_expired_since_.reset();
   }
+  StopVoidedStarts(worker, now, out);
   SendPoll(worker, /*immediate=*/true, now, out);
 }
 
+void WorkerScheduler::RememberVoided(Worker* worker, const Run& run, Time now) {
+  std::erase_if(worker->voided_starts_, [now](const VoidedStart& start) {
+    return now - start.sent_at_ > kLateOrderLimit;
+  });
+  worker->voided_starts_.push_back({run.name_, run.number_, run.sent_at_});
+}
+
+void WorkerScheduler::StopVoidedStarts(Worker* worker, Time now,
+                                       SchedulerOutbox* out) {
+  std::vector<VoidedStart> starts;
+  starts.swap(worker->voided_starts_);
+  for (const VoidedStart& start : starts) {
+    if (now - start.sent_at_ > kLateOrderLimit) continue;
+    Run& run = worker->runs_.emplace_back();
+    run.key_ = ++last_run_;
+    run.name_ = start.task_;
+    run.number_ = start.run_;
+    run.sent_at_ = start.sent_at_;
+    RequestStop(worker, &run, "worker-restarted", now, out);
+  }
+}
+
 void WorkerScheduler::DrainWorker(const WorkerId& worker) {
   Worker* owned = FindWorker(worker.value_);
   if (owned == nullptr || owned->draining_) return;
@@ -458,6 +484,7 @@
   worker->free_ = worker->info_->capacity_;
   for (Run& run : runs) {
     NoteOver(*worker, run, reason, out);
+    if (!run.start_seen_at_) RememberVoided(worker, run, now);
     if (reason != RunOverReason::kOutOfReach) ++stats_.runs_inferred_over_;
     if (!run.task_) continue;
     if (reason == RunOverReason::kOutOfReach) {
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -347,6 +347,13 @@
     std::optional<Time> start_expired_since_;
   };
 
+  /// A start that got no answer and was stopped before it was carried out.
+  struct VoidedStart {
+    std::string task_;
+    uint32_t run_ = 0;
+    Time sent_at_;
+  };
+
   struct Worker {
     LeasedWorkerRef info_;
     Fence fence_;
@@ -356,6 +363,7 @@
     /// Start times of its last known earlier incarnations, which the store may
     /// still list.
     std::vector<int64_t> earlier_incarnations_;
+    std::vector<VoidedStart> voided_starts_;
     /// A poll with this fence has listed its runs, and none that an earlier
     /// owner was stopping can be left.
     bool confirmed_ = false;
@@ -452,6 +460,10 @@
   /// Stops a run that progresses too slowly, to start it on another worker.
   void CheckProgress(Worker* worker, Run* run, double percent, Time now,
                      SchedulerOutbox* out);
+  /// Remembers a start that its worker refuses until it restarts.
+  static void RememberVoided(Worker* worker, const Run& run, Time now);
+  /// Stops the remembered starts again after the worker has restarted.
+  void StopVoidedStarts(Worker* worker, Time now, SchedulerOutbox* out);
   static void NoteOver(const Worker& worker, const Run& run,
                        RunOverReason reason, SchedulerOutbox* out);
   /// Removes all runs of a worker. Their tasks are reported as unknown if the
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -294,6 +294,7 @@
              found->start_seen_at_ ? RunOverReason::kMissing
                                    : RunOverReason::kNeverStarted,
              out);
+    if (!found->start_seen_at_) RememberVoided(worker, *found, now);
     std::optional<Task> task = std::move(found->task_);
     RemoveRun(worker, key);
     if (task) Requeue(std::move(*task), *worker, now, out);
