--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -311,6 +311,28 @@
   CheckRules();
 }
 
+// Guards against two runs of a task after a loss that only the caller notices:
+// its instance keeps an open connection, and the job is sent to another one.
+BOOST_AUTO_TEST_CASE(AJobWhoseCallerVanishedRunsOnceAtATime) {
+  Proxy proxy;
+  Address through;
+  const size_t pair = proxy.Add(a_.callers(), &through);
+  const HttpRequest job = Job(6, kLongRunMs + 600);
+  const size_t lost = caller_.Send(through, job, kCallerWaits);
+  caller_.RunUntil([] { return false; }, Duration{200});
+  proxy.SetFaults(pair, "mode=blackhole");
+  caller_.GiveUp(lost);
+  int status = 0;
+  for (int attempt = 0; attempt < 3 && status != 200; ++attempt) {
+    caller_.RunUntil([] { return false; }, kResendAfter);
+    const size_t sent = caller_.Send(b_.callers(), job, kCallerWaits);
+    caller_.RunUntil([&] { return caller_.Answered(sent); }, kPatience);
+    status = caller_.Answer(sent).status_;
+  }
+  BOOST_TEST(status == 200);
+  CheckRules();
+}
+
 // Orders without an answer that are carried out seconds later.
 BOOST_AUTO_TEST_CASE(LateOrdersNeverRunATaskTwice) {
   Report("PUT", "?silent=0.1&late_ms=700");
