Recall a job from the instance that its caller has lost

Cause: a coordinator trusted that the end of its caller's connection would reach it. If the caller's side ends alone, it goes on until the caller's deadline, while the caller submits the job to another instance after resend_ms. Nothing told either instance of the other.

Why it works: instances list the jobs that have been open for 500 ms to their peers each 100 ms, so that all know of them before a caller may be back. Jobs that end sooner cost nothing. A list counts for resend_ms after it was sent last; by then the leases of an instance that fell silent have ended.

Not closed: the two instances can't reach each other while the caller's loss goes unnoticed.

--- a/src/config.h
+++ b/src/config.h
@@ -21,6 +21,8 @@
 inline constexpr uint32_t kMaxTasksPerMessage = 4096;
 /// Most pools of leased workers in one load report of an owner.
 inline constexpr uint32_t kMaxPoolsPerReport = 64;
+/// Most jobs in one list of the long open jobs of an instance.
+inline constexpr uint32_t kMaxOpenJobsPerReport = 1024;
 
 /// Largest request head and body accepted from a caller, in bytes.
 inline constexpr size_t kMaxHeadBytes = 16 * 1024;
--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -130,6 +130,8 @@
   /// Minimum interval between load reports. Only the report at the start of a
   /// drain is sent regardless.
   static constexpr Duration kLoadInterval{20};
+  /// Interval between reports of the jobs that have been open for long.
+  static constexpr Duration kOpenJobsInterval{100};
 
   static Incarnation NewIncarnation() {
     std::random_device device;
@@ -256,6 +258,14 @@
     events.session_alive_ = [this](SessionId session, Time alive_at) {
       scheduler_.NoteSessionAlive(session, alive_at);
     };
+    events.jobs_open_elsewhere_ = [this](const InstanceName& coordinator,
+                                         const MeshOpenJobs& jobs) {
+      coordinator_.JobsOpenElsewhere(coordinator, jobs.ids_, clock_.Now());
+    };
+    events.recall_ = [this](const MeshRecallJob& recall) {
+      coordinator_.Recall(recall.id_, &coordinator_out_);
+      ExecuteCommands();
+    };
     events.session_started_ = [](SessionId session,
                                  const InstanceName& coordinator) {
       spdlog::info("event=session-started session={} coordinator={}",
@@ -330,6 +340,11 @@
                    send.owner_.value_);
     }
   }
+  void Execute(const SendRecall& recall) {
+    spdlog::info("event=recall request={} coordinator={}", recall.job_,
+                 recall.coordinator_.value_);
+    mesh_.Send(recall.coordinator_, MeshRecallJob{recall.job_});
+  }
   void Execute(const TaskReassigned& task) {
     spdlog::info("event=reassign task={}.0.{}.{} owner={} end={}", task.job_,
                  task.step_, task.index_, task.owner_.value_, Name(task.end_));
@@ -444,6 +459,15 @@
     mesh_.SendLoad(scheduler_.load(clock_.Now()));
   }
 
+  void BroadcastOpenJobs(Time now) {
+    if (now - open_jobs_shared_at_ < kOpenJobsInterval) return;
+    open_jobs_shared_at_ = now;
+    const MeshOpenJobs jobs{coordinator_.LongOpenJobs(now)};
+    // An empty list is sent once, to take back the one before.
+    if (!jobs.ids_.empty() || shared_open_jobs_) mesh_.SendOpenJobs(jobs);
+    shared_open_jobs_ = !jobs.ids_.empty();
+  }
+
   static void OnTick(evutil_socket_t, short, void* arg) {
     static_cast<HostedInstance*>(arg)->Tick();
   }
@@ -475,6 +499,7 @@
     backend_->Tick(now);
     ExecuteCommands();
     BroadcastLoad(now);
+    BroadcastOpenJobs(now);
     if (draining_) ContinueDrain(now);
   }
 
@@ -569,6 +594,8 @@
   Time last_tick_;
   Time drain_started_;
   Time load_shared_at_;
+  Time open_jobs_shared_at_;
+  bool shared_open_jobs_ = false;
   uint64_t own_load_version_ = 0;
   uint64_t shared_load_version_ = 0;
   bool executing_ = false;
--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -57,6 +57,7 @@
   count("room_jobs_interrupted", coordinator.interrupted_);
   count("room_jobs_timed_out", coordinator.timed_out_);
   count("room_callers_gone", coordinator.caller_disconnected_);
+  count("room_jobs_recalled", coordinator.recalled_);
   count("room_tasks_assigned", coordinator.tasks_assigned_);
   count("room_tasks_moved", coordinator.tasks_reassigned_);
   count("runs_started", owner.starts_);
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -24,6 +24,11 @@
 /// its job is abandoned.
 constexpr uint32_t kMaxReassignments = 4;
 constexpr Duration kRetryAfter{1000};
+/// Age from which a job counts as long open: well below the delay after which a
+/// caller that lost it submits it again, so that other instances know by then.
+constexpr Duration kLongOpenAge{500};
+/// Time after which the runs of an instance that reports nothing have ended.
+constexpr Duration kOpenElsewhereMemory{1300};
 /// Lower bound of `AssignTasks::give_up_after_`.
 constexpr Duration kMinGiveUp{50};
 
@@ -134,6 +139,18 @@
     out->push_back(JobRejoined{spec.id_, now - job.accepted_});
     return;
   }
+  if (const std::string* coordinator = FindOpenElsewhere(spec.id_, now)) {
+    // Its tasks may still run there. They have ended when the job comes again.
+    out->push_back(SendRecall{{*coordinator}, spec.id_});
+    ++stats_.interrupted_;
+    out->push_back(AnswerHostedJob{submit.request_,
+                                   HostedJobOutcome::kInterrupted,
+                                   "open-elsewhere",
+                                   kRetryAfter,
+                                   {},
+                                   Slack(spec)});
+    return;
+  }
   const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_);
   if (loads.empty()) {
     return Refuse(submit.request_, "no-workers", {}, {}, out);
@@ -411,6 +428,43 @@
   Finish(id, HostedJobOutcome::kInterrupted, "caller-gone", out);
 }
 
+std::vector<std::string> JobCoordinator::LongOpenJobs(Time now) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) {
+    if (now - job.accepted_ < kLongOpenAge ||
+        ids.size() >= config::kMaxOpenJobsPerReport) {
+      break;  // Later jobs are younger.
+    }
+    ids.push_back(job.spec_->id_);
+  }
+  return ids;
+}
+
+void JobCoordinator::JobsOpenElsewhere(const InstanceName& coordinator,
+                                       const std::vector<std::string>& ids,
+                                       Time now) {
+  open_elsewhere_[coordinator.value_] = {{ids.begin(), ids.end()}, now};
+}
+
+const std::string* JobCoordinator::FindOpenElsewhere(const std::string& id,
+                                                     Time now) const {
+  for (const auto& [coordinator, open] : open_elsewhere_) {
+    if (now - open.at_ <= kOpenElsewhereMemory && open.ids_.count(id) > 0) {
+      return &coordinator;
+    }
+  }
+  return nullptr;
+}
+
+void JobCoordinator::Recall(const std::string& id, CoordinatorOutbox* out) {
+  const auto found = jobs_by_id_.find(id);
+  if (found == jobs_by_id_.end()) return;
+  ++stats_.recalled_;
+  const uint64_t job = found->second;
+  CancelAssigned(&jobs_[job], out);
+  Finish(job, HostedJobOutcome::kInterrupted, "submitted-elsewhere", out);
+}
+
 void JobCoordinator::OwnerLoadReported(const InstanceName& owner,
                                        const std::string& data_centre,
                                        const OwnerLoad& load) {
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -2,6 +2,7 @@
 #define GENTIANDEAL_SRC_JOB_COORDINATOR_H_
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 #include "leased_worker.h"
@@ -83,6 +84,12 @@
   std::string job_;  ///< Id of the job; for logs.
 };
 
+/// Asks another instance to end a job, which its caller has submitted here.
+struct SendRecall {
+  InstanceName coordinator_;
+  std::string job_;
+};
+
 /// Tells that a task that ended without a result is placed again; for logs.
 struct TaskReassigned {
   std::string job_;
@@ -98,8 +105,9 @@
   Duration age_;
 };
 
-using CoordinatorCommand = std::variant<AnswerHostedJob, SendAssign, SendCancel,
-                                        TaskReassigned, JobRejoined>;
+using CoordinatorCommand =
+    std::variant<AnswerHostedJob, SendAssign, SendCancel, SendRecall,
+                 TaskReassigned, JobRejoined>;
 using CoordinatorOutbox = std::vector<CoordinatorCommand>;
 
 struct JobCoordinatorStats {
@@ -110,6 +118,7 @@
   uint64_t interrupted_ = 0;
   uint64_t timed_out_ = 0;
   uint64_t caller_disconnected_ = 0;
+  uint64_t recalled_ = 0;  ///< Jobs ended as they were submitted elsewhere.
   uint64_t tasks_assigned_ = 0;
   /// Tasks assigned again after an owner reported them as not done.
   uint64_t tasks_reassigned_ = 0;
@@ -130,6 +139,15 @@
   void On(const InstanceName& owner, const TaskEnded& ended, Time now,
           CoordinatorOutbox* out);
 
+  /// Returns the ids of jobs that have been open for so long that their callers
+  /// may be about to submit them elsewhere.
+  std::vector<std::string> LongOpenJobs(Time now) const;
+  /// Records the long open jobs of another instance, in place of those before.
+  void JobsOpenElsewhere(const InstanceName& coordinator,
+                         const std::vector<std::string>& ids, Time now);
+  /// Ends a job whose caller has submitted it to another instance.
+  void Recall(const std::string& id, CoordinatorOutbox* out);
+
   /// Records the current load of an owner that can be reached.
   void OwnerLoadReported(const InstanceName& owner,
                          const std::string& data_centre, const OwnerLoad& load);
@@ -199,7 +217,15 @@
     bool any_immediate_ = false;
   };
 
+  /// Long open jobs of another instance.
+  struct OpenElsewhere {
+    std::set<std::string> ids_;
+    Time at_;
+  };
+
   bool FitsSomewhere(const HostedJob& job) const;
+  /// Returns the other instance at which a job is open; null if none is known.
+  const std::string* FindOpenElsewhere(const std::string& id, Time now) const;
   /// Loads of a pool at all owners that aren't draining.
   std::vector<const PoolLoad*> PoolLoads(const std::string& pool) const;
   /// Chooses the cheapest owner for a task. @returns null if there is none.
@@ -231,7 +257,8 @@
   std::map<uint64_t, Job> jobs_;
   std::unordered_map<uint64_t, uint64_t> jobs_by_request_;
   std::unordered_map<std::string, uint64_t> jobs_by_id_;
-  std::unordered_map<uint64_t, TaskRef> tasks_;  // by serial
+  std::unordered_map<uint64_t, TaskRef> tasks_;          // by serial
+  std::map<std::string, OpenElsewhere> open_elsewhere_;  // by instance
   JobCoordinatorStats stats_;
 };
 
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -138,6 +138,13 @@
   }
 }
 
+void MeshLink::SendOpenJobs(const MeshOpenJobs& jobs) {
+  const std::string bytes = EncodeMesh(jobs);
+  for (auto& [name, link] : owners_) {
+    if (link->ready_) WriteFrame(link, bytes);
+  }
+}
+
 void MeshLink::Drop(Link* link) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
@@ -238,6 +245,14 @@
     events_.assign_(link->session_, *assign);
     return true;
   }
+  if (const auto* jobs = std::get_if<MeshOpenJobs>(&frame)) {
+    events_.jobs_open_elsewhere_(link->hello_.name_, *jobs);
+    return true;
+  }
+  if (const auto* recall = std::get_if<MeshRecallJob>(&frame)) {
+    events_.recall_(*recall);
+    return true;
+  }
   const auto* cancel = std::get_if<CancelTasks>(&frame);
   if (cancel == nullptr) return false;
   events_.cancel_(link->session_, *cancel);
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -29,6 +29,11 @@
   std::function<void(SessionId session, const CancelTasks& cancel)> cancel_;
   std::function<void(SessionId session, const InstanceName& coordinator)>
       session_started_;
+  /// A coordinator listed its jobs that have been open for long.
+  std::function<void(const InstanceName& coordinator, const MeshOpenJobs& jobs)>
+      jobs_open_elsewhere_;
+  /// The caller of a job of this instance has submitted it to another one.
+  std::function<void(const MeshRecallJob& recall)> recall_;
   /// The peer of a session is known to have been alive at a time, on this
   /// process's clock.
   std::function<void(SessionId session, Time alive_at)> session_alive_;
@@ -82,6 +87,9 @@
   /// Sends the load of this instance to all that may assign tasks to it.
   void SendLoad(const OwnerLoad& load);
 
+  /// Sends a list of open jobs to all peers.
+  void SendOpenJobs(const MeshOpenJobs& jobs);
+
   /// Opens missing connections, sends heartbeats, and closes connections that
   /// were silent for too long or have too much unsent. To be called from a
   /// timer of a higher priority than the sockets' events.
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -90,6 +90,16 @@
   SerializeList(archive, load.pools_, config::kMaxPoolsPerReport, uint8_t{0});
 }
 
+template <typename Archive>
+void Serialize(Archive& archive, MeshOpenJobs& jobs) {
+  SerializeList(archive, jobs.ids_, config::kMaxOpenJobsPerReport, uint16_t{0});
+}
+
+template <typename Archive>
+void Serialize(Archive& archive, MeshRecallJob& recall) {
+  archive.Text(recall.id_);
+}
+
 template <typename Archive>
 void Serialize(Archive& archive, MeshHeartbeat& heartbeat) {
   archive.Value(heartbeat.sent_.ms_);
--- a/src/mesh_wire.h
+++ b/src/mesh_wire.h
@@ -28,8 +28,21 @@
   Time echo_;
 };
 
-using MeshFrame = std::variant<MeshHello, AssignTasks, CancelTasks,
-                               MeshTasksEnded, OwnerLoad, MeshHeartbeat>;
+/// Jobs that have been open at the sender for long enough that their callers
+/// may have lost it and submit them elsewhere. Replaces the list sent before.
+struct MeshOpenJobs {
+  std::vector<std::string> ids_;
+};
+
+/// Asks the receiver to end a job, which its caller has submitted to the
+/// sender.
+struct MeshRecallJob {
+  std::string id_;
+};
+
+using MeshFrame =
+    std::variant<MeshHello, AssignTasks, CancelTasks, MeshTasksEnded, OwnerLoad,
+                 MeshHeartbeat, MeshOpenJobs, MeshRecallJob>;
 
 /// Encodes a frame, prefixed with its length: 4 bytes in network byte order.
 std::string EncodeMesh(const MeshFrame& frame);
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -232,6 +232,8 @@
   void Do(size_t index, const UpdateWorker& update);
   void Do(size_t index, const DrainWorker& retire);
   void Do(size_t index, const ReleaseWorker& disown);
+  // The schedule's coordinators always learn of a caller's loss.
+  void Do(size_t /*index*/, const SendRecall& /*recall*/) {}
   // Only logged by instances.
   void Do(size_t /*index*/, const RunOver& /*over*/) {}
   void Do(size_t /*index*/, const WorkerRestarted& /*worker*/) {}
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -214,6 +214,50 @@
   BOOST_TEST(All<SendCancel>().size() == 1U);
 }
 
+// Guards against two runs of a task whose job is still open at the instance
+// that its caller lost, although that instance believes the caller connected.
+BOOST_AUTO_TEST_CASE(RecallsAJobThatIsOpenElsewhereBeforeItRunsHere) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 4096, 0}}));
+  coordinator_.JobsOpenElsewhere({"other"}, {"a", "b"}, now_);
+  now_ = now_ + Duration{300};
+  Submit(Job("b", 1));
+  BOOST_REQUIRE(All<SendRecall>().size() == 1U);
+  BOOST_TEST(All<SendRecall>()[0].coordinator_.value_ == "other");
+  BOOST_TEST(All<SendRecall>()[0].job_ == "b");
+  BOOST_TEST(All<SendAssign>().empty());
+  BOOST_REQUIRE(All<AnswerHostedJob>().size() == 1U);
+  BOOST_TEST(
+      (All<AnswerHostedJob>()[0].outcome_ == HostedJobOutcome::kInterrupted));
+  coordinator_.JobsOpenElsewhere({"other"}, {"a"}, now_);
+  Submit(Job("b", 1));
+  BOOST_TEST(All<SendAssign>().size() == 1U);
+}
+
+// The runs of an instance that has fallen silent end by their leases.
+BOOST_AUTO_TEST_CASE(ForgetsTheOpenJobsOfASilentInstance) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 4096, 0}}));
+  coordinator_.JobsOpenElsewhere({"other"}, {"a"}, now_);
+  now_ = now_ + Duration{1301};
+  Submit(Job("a", 1));
+  BOOST_TEST(All<SendRecall>().empty());
+  BOOST_TEST(All<SendAssign>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ARecalledJobIsCancelledAndAnswered) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 4096, 0}}));
+  Submit(Job("a", 1));
+  BOOST_TEST(coordinator_.LongOpenJobs(now_).empty());
+  now_ = now_ + Duration{600};
+  BOOST_TEST(coordinator_.LongOpenJobs(now_) == std::vector<std::string>{"a"},
+             boost::test_tools::per_element());
+  coordinator_.Recall("a", &out_);
+  BOOST_TEST(All<SendCancel>().size() == 1U);
+  BOOST_REQUIRE(All<AnswerHostedJob>().size() == 1U);
+  BOOST_TEST(
+      (All<AnswerHostedJob>()[0].outcome_ == HostedJobOutcome::kInterrupted));
+  BOOST_TEST(coordinator_.idle());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
