Show which losses of a caller its coordinator doesn't learn of

A job's runs end within 600 ms when its caller closes, resets or half-closes, closes behind a pipelined request, or closes while the instance is stopped for 350 ms or 2 s.

Two things fail:

- a caller that has sent 2 MiB more before it closes: the run goes on to its own end after 1899 ms
- a caller that closed before its request was read, because the process stood still: its job is started, in all three cases

The stand-in platform reports how many runs are in progress.

--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -1,3 +1,4 @@
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,6 +22,11 @@
 constexpr Duration kResendAfter{1300};
 /// Long enough to be running still when a job is sent again.
 constexpr int kLongRunMs = 1900;
+/// From a loss that the instance's kernel learns at once to the end of the
+/// job's runs: a stop of 50 ms, and room for a busy machine.
+constexpr Duration kRunsEndWithin{600};
+/// More than an instance reads of a connection ahead of its answer.
+constexpr size_t kPipelinedBytes = 2 << 20;
 
 /// A port that the kernel chose, kept from being chosen again for another
 /// socket. Whoever listens with `SO_REUSEADDR`, as instances do, can use it.
@@ -47,6 +53,72 @@
   Address address_;
 };
 
+/// Caller's connection, whose end is under the control of the test.
+class RawCaller {
+ public:
+  explicit RawCaller(const Address& to) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    SocketAddress address;
+    BOOST_REQUIRE(!ToSocketAddress(to, &address));
+    BOOST_REQUIRE(connect(fd_, address.get(), address.size_) == 0);
+  }
+  ~RawCaller() {
+    if (fd_ >= 0) close(fd_);
+  }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Send(const HttpRequest& request) {
+    std::string text = request.method_ + " " + request.path_ + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : request.fields_) {
+      text.append(name).append(": ").append(value).append("\r\n");
+    }
+    text += "Content-Length: " + std::to_string(request.body_.size()) +
+            "\r\n\r\n" + request.body_;
+    SendBytes(text);
+  }
+
+  /// Sends as much as the connection takes within a second.
+  /// @returns the number of bytes sent.
+  size_t SendBytes(const std::string& bytes) {
+    const timeval limit{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return static_cast<size_t>(std::max<ssize_t>(sent, 0));
+  }
+
+  void Close() {
+    close(fd_);
+    fd_ = -1;
+  }
+  void Reset() {
+    const linger abort{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    Close();
+  }
+  void HalfClose() { shutdown(fd_, SHUT_WR); }
+
+  /// Discards every segment that arrives, as if the path was cut, so that
+  /// nothing is acknowledged any more.
+  void FallSilent() {
+    sock_filter discard[] = {{BPF_RET | BPF_K, 0, 0, 0}};
+    const sock_fprog program{1, discard};
+    BOOST_REQUIRE(setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                             sizeof(program)) == 0);
+  }
+
+  /// @returns the beginning of the answer, or what came until `patience`.
+  std::string Receive(Duration patience) {
+    const timeval limit{patience.ms_ / 1000, patience.ms_ % 1000 * 1000};
+    setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    char bytes[4096];
+    const ssize_t got = recv(fd_, bytes, sizeof(bytes), 0);
+    return {bytes, static_cast<size_t>(std::max<ssize_t>(got, 0))};
+  }
+
+ private:
+  int fd_;
+};
+
 /// One instance on the stand-in of the users' platform.
 class HostedInstanceProcess {
  public:
@@ -199,6 +271,39 @@
                            .body_);
   }
 
+  void Wait(Duration time) {
+    caller_.RunUntil([] { return false; }, time);
+  }
+
+  /// Has `caller` send a job that runs for long to instance `a_`.
+  void StartLongRun(RawCaller* caller) {
+    BOOST_REQUIRE(WaitUntil([&] { return Report()["running"] == 0; }));
+    caller->Send(Job(1, kLongRunMs));
+    BOOST_REQUIRE(WaitUntil([&] { return Report()["running"] == 1; }));
+  }
+
+  /// Checks that no run is left in good time before callers send again.
+  void CheckRunsEndSoonAfter(Time lost) {
+    BOOST_TEST(WaitUntil([&] { return Report()["running"] == 0; }));
+    BOOST_TEST((clock_.Now() - lost).ms_ < kRunsEndWithin.ms_);
+    CheckRules();
+  }
+
+  /// Has a caller send a job that instance `a_` can't read yet, and close.
+  /// @returns the number of starts that it caused.
+  int StartsAfterACloseBeforeTheRead(Duration stopped, size_t more_bytes) {
+    const int before = Report()["starts"].get<int>();
+    a_.process().Signal(SIGSTOP);
+    RawCaller caller(a_.callers());
+    caller.Send(Job(1, kLongRunMs));
+    if (more_bytes > 0) caller.SendBytes(std::string(more_bytes, 'x'));
+    caller.Close();
+    Wait(stopped);
+    a_.process().Signal(SIGCONT);
+    Wait(Duration{500});
+    return Report()["starts"].get<int>() - before;
+  }
+
   /// What no instance may ever cause.
   void CheckRules() {
     const Json report = Report();
@@ -320,6 +425,91 @@
   CheckRules();
 }
 
+// Each of the following guards against two runs of a task at once, where the
+// coordinator doesn't learn that its caller is lost.
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerCloses) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  const Time lost = clock_.Now();
+  caller.Close();
+  CheckRunsEndSoonAfter(lost);
+}
+
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerResets) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  const Time lost = clock_.Now();
+  caller.Reset();
+  CheckRunsEndSoonAfter(lost);
+}
+
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerHalfCloses) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  const Time lost = clock_.Now();
+  caller.HalfClose();
+  CheckRunsEndSoonAfter(lost);
+}
+
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerClosesAfterAPipelinedRequest) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  caller.Send(Job(1, kLongRunMs));
+  const Time lost = clock_.Now();
+  caller.Close();
+  CheckRunsEndSoonAfter(lost);
+}
+
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerClosesAfterManyBytes) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  const std::string bytes(kPipelinedBytes, 'x');
+  caller.SendBytes(bytes);
+  const Time lost = clock_.Now();
+  caller.Close();
+  CheckRunsEndSoonAfter(lost);
+}
+
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerClosesDuringAShortStop) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  const Time lost = clock_.Now();
+  a_.process().Signal(SIGSTOP);
+  caller.Close();
+  Wait(Duration{350});
+  a_.process().Signal(SIGCONT);
+  CheckRunsEndSoonAfter(lost + Duration{350});
+}
+
+// Longer than the leases of its runs and than the silence that links allow.
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerClosesDuringALongStop) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  const int starts = Report()["starts"].get<int>();
+  a_.process().Signal(SIGSTOP);
+  caller.Close();
+  Wait(kResendAfter);
+  BOOST_TEST(Report()["running"] == 0);
+  Wait(Duration{700});
+  a_.process().Signal(SIGCONT);
+  Wait(Duration{500});
+  BOOST_TEST(Report()["starts"] == starts);
+  BOOST_TEST(Report()["running"] == 0);
+  CheckRules();
+}
+
+BOOST_AUTO_TEST_CASE(NothingStartsForACallerThatClosedBeforeAShortStopEnded) {
+  BOOST_TEST(StartsAfterACloseBeforeTheRead(Duration{300}, 0) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(NothingStartsForACallerThatClosedBeforeALongStopEnded) {
+  BOOST_TEST(StartsAfterACloseBeforeTheRead(Duration{2000}, 0) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(NothingStartsForACallerThatPipelinedAndClosed) {
+  BOOST_TEST(StartsAfterACloseBeforeTheRead(Duration{300}, 1000) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/standins/hosted.cc
+++ b/tests/standins/hosted.cc
@@ -32,6 +32,7 @@
 /// What was seen; the last four must stay 0.
 struct Counts {
   int starts_ = 0;
+  int running_ = 0;  ///< Runs in progress, on all workers.
   int done_ = 0;
   int lapsed_ = 0;
   int overbooked_ = 0;  ///< Starts beyond a worker's resources.
@@ -390,6 +391,7 @@
     const Time now = world_->clock_.Now();
     runs_[task] = {number, now + Duration{ms}, now};
     ++world_->running_[task];
+    ++counts.running_;
     After(world_->base_, ms, [this, task, number] {
       const auto run = runs_.find(task);
       if (run != runs_.end() && run->second.number_ == number &&
@@ -424,6 +426,7 @@
     ++last_end_;
     finished_[last_end_] = {last_end_, task, run->second.number_, how, ""};
     --world_->running_[task];
+    --world_->counts_.running_;
     if (how == "done") {
       ++world_->done_[task];
       ++world_->counts_.done_;
@@ -485,10 +488,11 @@
 };
 
 Json Report(const Counts& counts) {
-  return {{"starts", counts.starts_},        {"done", counts.done_},
-          {"lapsed", counts.lapsed_},        {"overbooked", counts.overbooked_},
-          {"twice", counts.twice_},          {"stale", counts.stale_},
-          {"after_done", counts.after_done_}};
+  return {
+      {"starts", counts.starts_},         {"done", counts.done_},
+      {"running", counts.running_},       {"lapsed", counts.lapsed_},
+      {"overbooked", counts.overbooked_}, {"twice", counts.twice_},
+      {"stale", counts.stale_},           {"after_done", counts.after_done_}};
 }
 
 Json Configuration() {
