Notice a caller's close behind bytes that it sent ahead

Cause: the input of a connection is limited, and while a request awaits its reply nothing is taken from it. Once it is full the socket is not read, and the end behind the unread bytes is not seen. Where the bytes fill the receive window, the close isn't even sent.

Why it works: where callers are watched, a connection is read on while its request awaits the reply. Bytes beyond the limit are discarded, and the reply is the last one on the connection, which HTTP allows. The open job still gets its answer (ACallerThatSentManyBytesStillGetsItsAnswer). Other HTTP servers keep to the old way, so that large pipelined requests work there.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -90,6 +90,8 @@
     return LocalAddress(evconnlistener_get_fd(htp_->server), &address_);
   }
 
+  void WatchCallers() { watches_callers_ = true; }
+
   void StopListening() { evconnlistener_disable(htp_->server); }
 
   void Reply(RequestId id, const HttpReply& reply) {
@@ -112,8 +114,12 @@
  private:
   static evhtp_res OnAccept(evhtp_connection_t* conn, void* arg) {
     auto* self = static_cast<Impl*>(arg);
-    self->connections_.emplace(
-        conn, std::make_unique<HttpServerConnection>(self->base_, conn));
+    auto& connection =
+        self->connections_
+            .emplace(conn,
+                     std::make_unique<HttpServerConnection>(self->base_, conn))
+            .first->second;
+    if (self->watches_callers_) connection->KeepReading();
     ++self->stats_.open_connections_;
     const auto hook = [&](evhtp_hook_type type, auto callback) {
       // The library takes all hooks as one type and casts each one back.
@@ -215,6 +221,7 @@
   Address address_;
   uint64_t last_request_ = 0;
   bool closing_ = false;
+  bool watches_callers_ = false;
   std::unordered_map<evhtp_connection_t*, std::unique_ptr<HttpServerConnection>>
       connections_;
   std::unordered_map<uint64_t, evhtp_request_t*> pending_requests_;
@@ -229,6 +236,8 @@
   return impl_->Listen(address);
 }
 
+void HttpServer::WatchCallers() { impl_->WatchCallers(); }
+
 void HttpServer::StopListening() { impl_->StopListening(); }
 
 void HttpServer::Reply(RequestId request, const HttpReply& reply) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -46,6 +46,10 @@
   /// Binds and listens. @returns the system's error on failure.
   std::error_code Listen(const Address& address);
 
+  /// Notices the end of a connection with an open request at once, also if
+  /// more requests were sent on it. Holds for connections accepted later.
+  void WatchCallers();
+
   /// Stops accepting connections; open ones stay open.
   void StopListening();
 
--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -155,10 +155,21 @@
   if (self->phase_ == Phase::kReadingHead && !self->ReadHead(from)) {
     return BEV_NEED_MORE;
   }
+  if (self->phase_ == Phase::kAwaitingReply && self->keeps_reading_) {
+    self->DiscardExcess(from);
+  }
   if (self->phase_ != Phase::kReadingBody) return BEV_NEED_MORE;
   return self->PassToLibrary(from, to) > 0 ? BEV_OK : BEV_NEED_MORE;
 }
 
+// Without room the socket would not be read, and its end not be seen.
+void HttpServerConnection::DiscardExcess(evbuffer* from) {
+  const size_t size = evbuffer_get_length(from);
+  if (!discarded_ && size < kInputHighWatermarkBytes) return;
+  discarded_ = true;
+  evbuffer_drain(from, size);
+}
+
 // Checks the head at the front of `from` and refuses an invalid one.
 // @returns true when the head is complete and valid.
 bool HttpServerConnection::ReadHead(evbuffer* from) {
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -20,6 +20,11 @@
   HttpServerConnection(const HttpServerConnection&) = delete;
   HttpServerConnection& operator=(const HttpServerConnection&) = delete;
 
+  /// Reads on behind a request that awaits its reply, so that the end of the
+  /// connection is noticed whatever the sender has sent before it. Bytes beyond
+  /// the limit of the input are discarded, and the reply is the last one.
+  void KeepReading() { keeps_reading_ = true; }
+
   /// The library has parsed a complete request.
   void OnRequest();
 
@@ -29,8 +34,9 @@
 
   /// Whether the connection must close after the reply to the current request.
   /// True for a chunked request: its end is not known here, so that bytes of a
-  /// following request may already have been passed to the library.
-  bool must_close() const { return chunked_; }
+  /// following request may already have been passed to the library. Also true
+  /// once bytes of a following request were discarded.
+  bool must_close() const { return chunked_ || discarded_; }
 
   /// The reply has been given to the library.
   ///
@@ -78,6 +84,7 @@
 
   bool ReadHead(evbuffer* from);
   size_t PassToLibrary(evbuffer* from, evbuffer* to);
+  void DiscardExcess(evbuffer* from);
   void CloseWhenSent();
 
   bufferevent* socket_;
@@ -88,6 +95,8 @@
   bool reading_ = false;  // part of the current request has arrived
   bool chunked_ = false;
   bool refused_ = false;
+  bool keeps_reading_ = false;
+  bool discarded_ = false;
   bool write_shut_down_ = false;
   uint64_t remaining_bytes_ = 0;  // of the current request, not yet passed
   uint64_t bytes_passed_ = 0;     // of the current request, head included
--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -470,6 +470,13 @@
   CheckRunsEndSoonAfter(lost);
 }
 
+BOOST_AUTO_TEST_CASE(ACallerThatSentManyBytesStillGetsItsAnswer) {
+  RawCaller caller(a_.callers());
+  caller.Send(Job(1, 300));
+  caller.SendBytes(std::string(kPipelinedBytes, 'x'));
+  BOOST_TEST(caller.Receive(kCallerWaits).find(" 200 ") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerClosesDuringAShortStop) {
   RawCaller caller(a_.callers());
   StartLongRun(&caller);
