Tell a silent or closed peer from the kernel's knowledge

GetPeerActivity reads from TCP_INFO how long ago data and any segment came, and whether a probe or a retransmission is unanswered; SetCallerKeepAlive has the kernel probe each second; HasPeerClosed sees a close behind unread bytes.

A filter that discards all segments on the caller's socket stands for a cut path.

--- a/src/socket_address.cc
+++ b/src/socket_address.cc
@@ -3,11 +3,20 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <cstddef>
 
 namespace gentiandeal {
+namespace {
+
+/// Unanswered probes after which the kernel itself ends a connection.
+constexpr int kKeepAliveProbes = 3;
+
+}  // namespace
 
 std::error_code ToSocketAddress(const Address& address, SocketAddress* out) {
   *out = {};
@@ -63,4 +72,40 @@
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 }
 
+void SetCallerKeepAlive(int fd) {
+  const int on = 1;
+  const int seconds = static_cast<int>(kKeepAliveInterval.ms_ / 1000);
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
+}
+
+std::error_code GetPeerActivity(int fd, PeerActivity* out) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return {errno, std::system_category()};
+  }
+  constexpr size_t kNeeded =
+      offsetof(tcp_info, tcpi_last_ack_recv) + sizeof(info.tcpi_last_ack_recv);
+  if (size < kNeeded || info.tcpi_state == 0 || info.tcpi_state == TCP_LISTEN) {
+    return std::make_error_code(std::errc::not_supported);
+  }
+  out->data_age_ = {info.tcpi_last_data_recv};
+  out->segment_age_ = {
+      std::min(info.tcpi_last_data_recv, info.tcpi_last_ack_recv)};
+  out->unanswered_ = info.tcpi_probes > 0 || info.tcpi_retransmits > 0;
+  return {};
+}
+
+bool HasPeerClosed(int fd) {
+  pollfd wanted{fd, POLLIN | POLLRDHUP, 0};
+  if (poll(&wanted, 1, 0) <= 0) return false;
+  if ((wanted.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return true;
+  char byte = 0;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 }  // namespace gentiandeal
--- a/src/socket_address.h
+++ b/src/socket_address.h
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include "caller_silence.h"
 #include "gentiandeal_p.h"
 
 namespace gentiandeal {
@@ -34,6 +35,23 @@
 /// so that dead peers are noticed.
 void SetTcpOptions(int fd);
 
+/// Time without a segment after which the kernel probes a caller, and from one
+/// probe to the next. The shortest that Linux takes.
+inline constexpr Duration kKeepAliveInterval{1000};
+
+/// Has the kernel probe the other side each `kKeepAliveInterval`, so that a
+/// host that has forgotten the connection resets it. Set on a listening socket,
+/// it holds for the connections that are accepted from then on.
+void SetCallerKeepAlive(int fd);
+
+/// Gets what the kernel knows of the other side. @returns an error when it
+/// can't tell.
+std::error_code GetPeerActivity(int fd, PeerActivity* out);
+
+/// Whether the other side has closed, half-closed or reset the connection, even
+/// if bytes sent before that are unread.
+bool HasPeerClosed(int fd);
+
 }  // namespace gentiandeal
 
 #endif  // GENTIANDEAL_SRC_SOCKET_ADDRESS_H_
--- a/tests/unit/test_sockets.h
+++ b/tests/unit/test_sockets.h
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <event2/event.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -49,6 +50,7 @@
   TestSocket(const TestSocket&) = delete;
   TestSocket& operator=(const TestSocket&) = delete;
 
+  int fd() const { return fd_; }
   bool connected() const { return connected_; }
   const std::string& received() const { return received_; }
   bool ended() const { return ended_; }
@@ -79,6 +81,14 @@
 
   void Clear() { received_.clear(); }
 
+  /// Discards every segment that arrives from now on, as if the path was cut.
+  bool DiscardArrivals() const {
+    sock_filter discard[] = {{BPF_RET | BPF_K, 0, 0, 0}};
+    const sock_fprog program{1, discard};
+    return setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                      sizeof(program)) == 0;
+  }
+
   /// Closes the connection, with a TCP reset if `hard`.
   void Close(bool hard = false) {
     if (fd_ < 0) return;
@@ -110,6 +120,7 @@
   TestListener(const TestListener&) = delete;
   TestListener& operator=(const TestListener&) = delete;
 
+  int fd() const { return fd_; }
   bool ready() const { return ready_; }
   const Address& address() const { return address_; }
 
