Start nothing for a caller that closed before its request was read

A job was started, and stopped a moment later, although its caller had closed the connection already: request and close had waited in the kernel while the process stood still.

Cause: the request is read and its tasks are assigned before the event loop reads the end behind it.

Why it works: before a job is submitted, the kernel is asked whether the other side has closed, also behind bytes that are unread.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -94,6 +94,12 @@
 
   void StopListening() { evconnlistener_disable(htp_->server); }
 
+  bool HasDisconnected(RequestId id) const {
+    const auto found = pending_requests_.find(id.value_);
+    return found == pending_requests_.end() ||
+           HasPeerClosed(SocketOf(found->second));
+  }
+
   void Reply(RequestId id, const HttpReply& reply) {
     const auto found = pending_requests_.find(id.value_);
     if (found == pending_requests_.end()) return;
@@ -133,6 +139,10 @@
     return EVHTP_RES_OK;
   }
 
+  int SocketOf(const evhtp_request_t* request) const {
+    return Find(request->conn)->socket();
+  }
+
   HttpServerConnection* Find(evhtp_connection_t* conn) const {
     const auto found = connections_.find(conn);
     return found == connections_.end() ? nullptr : found->second.get();
@@ -240,6 +250,10 @@
 
 void HttpServer::StopListening() { impl_->StopListening(); }
 
+bool HttpServer::HasDisconnected(RequestId request) const {
+  return impl_->HasDisconnected(request);
+}
+
 void HttpServer::Reply(RequestId request, const HttpReply& reply) {
   impl_->Reply(request, reply);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -53,6 +53,10 @@
   /// Stops accepting connections; open ones stay open.
   void StopListening();
 
+  /// Whether the sender of a request is known to have disconnected, also if
+  /// `disconnected_` has not been called yet.
+  bool HasDisconnected(RequestId request) const;
+
   /// Sends the reply to a request. Ignored when its sender has disconnected.
   void Reply(RequestId request, const HttpReply& reply);
 
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -52,6 +52,8 @@
   /// finds a malformed body.
   void OnLibraryClose();
 
+  int socket() const { return bufferevent_getfd(socket_); }
+
   /// Closes the connection from the event loop. Safe to call within the
   /// library's callbacks.
   void ScheduleClose();
