Don't assign a task again whose owner is still stopping its run

An owner that reports a task as cancelled may be stopping its run, which takes up to the stop timeout. Coordinators cancel only jobs that they give up, so no known message leads there; the report of another owner must not be trusted for that.

Evidence: InterruptsAJobWhoseTaskWasCancelledUnasked saw a second assignment; now the job is interrupted.

Why it works: kCancelled is treated like kUnknown.

--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -20,8 +20,8 @@
 constexpr double kSameOwnerPenalty = 20;
 /// Added where the task has to wait, so that free resources are preferred.
 constexpr double kWaitPenalty = 10;
-/// Times that a task may be reassigned after it was lost or cancelled, before
-/// its job is abandoned.
+/// Times that a task may be reassigned after it was lost, before its job is
+/// abandoned.
 constexpr uint32_t kMaxReassignments = 4;
 constexpr Duration kRetryAfter{1000};
 /// Lower bound of `AssignTasks::give_up_after_`.
@@ -288,6 +288,7 @@
       }
       break;
     case TaskEnd::kUnknown:
+    case TaskEnd::kCancelled:  // A run may be in progress still.
       CancelAssigned(&job, out);
       return Finish(ref.job_, HostedJobOutcome::kInterrupted, "worker-lost",
                     out);
@@ -295,7 +296,6 @@
       // A job that has started goes on while its answer is still useful.
       if (job.started_ && now < UsefulUntil(job)) break;
       return Abandon(ref.job_, "too-late", out);
-    case TaskEnd::kCancelled:
     case TaskEnd::kLost:
       ++task.reassignments_;
       break;
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -164,7 +164,7 @@
   struct TaskRecord {
     TaskState state_ = TaskState::kWaiting;
     uint32_t failures_ = 0;
-    uint32_t reassignments_ = 0;  ///< After `kLost` or `kCancelled`.
+    uint32_t reassignments_ = 0;  ///< After `kLost`.
     TaskSerial serial_;
     InstanceName owner_;
   };
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -172,6 +172,17 @@
   BOOST_TEST(All<SendAssign>().size() == 1U);
 }
 
+// Guards against two runs of a task: an owner reports a run that it is still
+// stopping, and the task is assigned again at once.
+BOOST_AUTO_TEST_CASE(InterruptsAJobWhoseTaskWasCancelledUnasked) {
+  coordinator_.OwnerLoadReported({"near"}, "west", Load({{32000, 1000, 0}}));
+  coordinator_.OwnerLoadReported({"far"}, "east", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1));
+  End(All<SendAssign>()[0], 0, TaskEnd::kCancelled);
+  BOOST_TEST(All<SendAssign>().size() == 1U);
+  BOOST_TEST((Answer() == HostedJobOutcome::kInterrupted));
+}
+
 BOOST_AUTO_TEST_CASE(JoinsAJobSubmittedAgainWhileItRuns) {
   coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
   Submit(Job("a", 1));
