Show two more ways in which a job outlives its caller's interest

A caller whose path is cut is taken for connected: its run went on to its own end after 1899 ms. A request that waited 400 ms while the process stood still has its deadline of 1500 ms counted from when it was read: the run ended after 1952 ms.

AQuietCallerGetsItsAnswer holds and guards the fix of the first: a caller that only answers probes gets the answer of a job of 2.6 s.

--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -505,6 +505,51 @@
   CheckRules();
 }
 
+// The path to the caller is cut: neither its close nor a reset arrives.
+BOOST_AUTO_TEST_CASE(RunsEndWhenTheCallerFallsSilent) {
+  RawCaller caller(a_.callers());
+  StartLongRun(&caller);
+  const Json done = Report()["done"];
+  const Time lost = clock_.Now();
+  caller.FallSilent();
+  BOOST_TEST(WaitUntil([&] { return Report()["running"] == 0; }));
+  const Duration took = clock_.Now() - lost;
+  BOOST_TEST_MESSAGE("runs of a silent caller ended after " << took.ms_
+                                                            << " ms");
+  // The run's own end would come at 1.9 s.
+  BOOST_TEST(took.ms_ < 1600);
+  BOOST_TEST(Report()["done"] == done);
+  CheckRules();
+}
+
+// A caller that answers keepalive probes and sends nothing else is not lost.
+BOOST_AUTO_TEST_CASE(AQuietCallerGetsItsAnswer) {
+  RawCaller caller(a_.callers());
+  caller.Send(Job(1, 2600));
+  BOOST_TEST(caller.Receive(kCallerWaits).find(" 200 ") != std::string::npos);
+}
+
+// The caller waits from when it sent the request, not from when it was read.
+BOOST_AUTO_TEST_CASE(RunsEndAtTheDeadlineThoughTheRequestWasReadLate) {
+  constexpr Duration kWaits{1500};
+  HttpRequest job = Job(1, 2600);
+  job.fields_ = {{"Host", "desk.example"},
+                 {"Deadline-Ms", std::to_string(kWaits.ms_)}};
+  BOOST_REQUIRE(WaitUntil([&] { return Report()["running"] == 0; }));
+  a_.process().Signal(SIGSTOP);
+  RawCaller caller(a_.callers());
+  const Time sent = clock_.Now();
+  caller.Send(job);
+  Wait(Duration{400});
+  a_.process().Signal(SIGCONT);
+  BOOST_REQUIRE(WaitUntil([&] { return Report()["running"] == 1; }));
+  BOOST_TEST(WaitUntil([&] { return Report()["running"] == 0; }));
+  const Duration took = clock_.Now() - sent;
+  BOOST_TEST(took.ms_ >= kWaits.ms_);
+  // A stop of 50 ms, and room for a busy machine.
+  BOOST_TEST(took.ms_ < kWaits.ms_ + 250);
+}
+
 BOOST_AUTO_TEST_CASE(NothingStartsForACallerThatClosedBeforeAShortStopEnded) {
   BOOST_TEST(StartsAfterACloseBeforeTheRead(Duration{300}, 0) == 0);
 }
