Give up a job whose caller has fallen silent

Cause: nothing was sent on a caller's connection until the answer, so nothing could show that the other side was gone.

Why it works: the kernel probes callers' connections after each second without a segment. A host that has forgotten the connection resets it, which ends it at once. Where no answer comes, the tick finds that no segment has arrived for resend_ms less the time that cancelling takes, 1150 ms of 1300 ms, and that a probe is unanswered; the caller is then disconnected with event=caller-silent. Only connections with an open request are checked, and each is asked about again no sooner than its limit can be reached, so about once a second. The answer of a probe may take 100 ms.

If the kernel can't tell, event=caller-silence-unknown says so once and probes alone remain. A job whose caller answers probes goes on as before (AQuietCallerGetsItsAnswer).

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -21,6 +21,8 @@
 struct HostedEvents {
   std::function<void(const SubmitHostedJob&)> submit_;
   std::function<void(const CallerDisconnected&)> caller_disconnected_;
+  /// A caller will be disconnected for its silence; for logs.
+  std::function<void(RequestId, Duration)> caller_silent_;
   std::function<void(const StartEnded&)> start_ended_;
   std::function<void(const StopEnded&)> stop_ended_;
   std::function<void(const PollEnded&)> poll_ended_;
@@ -164,6 +166,12 @@
       coordinator_.On(gone, clock_.Now(), &coordinator_out_);
       ExecuteCommands();
     };
+    events.caller_silent_ = [this](RequestId request, Duration silence) {
+      const auto found = open_requests_.find(request.value_);
+      if (found == open_requests_.end()) return;
+      spdlog::warn("event=caller-silent request={} silent_ms={}",
+                   found->second.id_, silence.ms_);
+    };
     events.start_ended_ = [this](const StartEnded& ended) {
       if (ended.result_ != StartResult::kStarted) {
         spdlog::info("event=start-refused call={} result={}",
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -87,10 +87,42 @@
         0) {
       return {errno, std::generic_category()};
     }
-    return LocalAddress(evconnlistener_get_fd(htp_->server), &address_);
+    const int fd = evconnlistener_get_fd(htp_->server);
+    if (watches_callers_) SetCallerKeepAlive(fd);
+    return LocalAddress(fd, &address_);
   }
 
-  void WatchCallers() { watches_callers_ = true; }
+  void WatchCallers(std::optional<Duration> silence_limit) {
+    watches_callers_ = true;
+    silence_limit_ = silence_limit;
+  }
+
+  void Tick(Time now) {
+    if (!silence_limit_) return;
+    std::vector<std::pair<RequestId, Duration>> silent;
+    for (const auto& [id, request] : pending_requests_) {
+      HttpServerConnection* connection = Find(request->conn);
+      if (!connection->silence_ || !connection->silence_->IsCheckDue(now)) {
+        continue;
+      }
+      PeerActivity activity;
+      if (const auto error = GetPeerActivity(connection->socket(), &activity)) {
+        silence_limit_.reset();
+        return events_.silence_unknown_(error);
+      }
+      if (connection->silence_->Check(activity, now)) {
+        silent.emplace_back(RequestId{id}, activity.segment_age_);
+      }
+    }
+    for (const auto& [id, silence] : silent) {
+      const auto found = pending_requests_.find(id.value_);
+      if (found == pending_requests_.end()) continue;
+      HttpServerConnection* connection = Find(found->second->conn);
+      events_.silent_(id, silence);
+      DropPendingRequest(connection);
+      connection->ScheduleClose();
+    }
+  }
 
   void StopListening() { evconnlistener_disable(htp_->server); }
 
@@ -125,7 +157,10 @@
             .emplace(conn,
                      std::make_unique<HttpServerConnection>(self->base_, conn))
             .first->second;
-    if (self->watches_callers_) connection->KeepReading();
+    if (self->watches_callers_) {
+      connection->KeepReading();
+      SetCallerKeepAlive(connection->socket());
+    }
     ++self->stats_.open_connections_;
     const auto hook = [&](evhtp_hook_type type, auto callback) {
       // The library takes all hooks as one type and casts each one back.
@@ -194,6 +229,9 @@
     const RequestId id{++self->last_request_};
     self->pending_requests_.emplace(id.value_, request);
     connection->pending_request_ = id;
+    if (self->silence_limit_) {
+      connection->silence_.emplace(*self->silence_limit_, self->clock_.Now());
+    }
     CallerRequest http_request;
     http_request.method_ = htparser_get_methodstr_m(request->method);
     http_request.path_ = connection->target();
@@ -232,6 +270,7 @@
   uint64_t last_request_ = 0;
   bool closing_ = false;
   bool watches_callers_ = false;
+  std::optional<Duration> silence_limit_;
   std::unordered_map<evhtp_connection_t*, std::unique_ptr<HttpServerConnection>>
       connections_;
   std::unordered_map<uint64_t, evhtp_request_t*> pending_requests_;
@@ -246,7 +285,11 @@
   return impl_->Listen(address);
 }
 
-void HttpServer::WatchCallers() { impl_->WatchCallers(); }
+void HttpServer::WatchCallers(std::optional<Duration> silence_limit) {
+  impl_->WatchCallers(silence_limit);
+}
+
+void HttpServer::Tick(Time now) { impl_->Tick(now); }
 
 void HttpServer::StopListening() { impl_->StopListening(); }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -26,6 +26,12 @@
   std::function<void(RequestId, CallerRequest)> request_;
   /// The sender of a request disconnected before the reply.
   std::function<void(RequestId)> disconnected_ = [](RequestId) {};
+  /// The sender of a request has been silent too long; `disconnected_` follows.
+  std::function<void(RequestId, Duration silence)> silent_ = [](RequestId,
+                                                                Duration) {};
+  /// The kernel can't tell how long a sender has been silent. Called once.
+  std::function<void(std::error_code)> silence_unknown_ = [](std::error_code) {
+  };
 };
 
 struct HttpServerStats {
@@ -47,8 +53,16 @@
   std::error_code Listen(const Address& address);
 
   /// Notices the end of a connection with an open request at once, also if
-  /// more requests were sent on it. Holds for connections accepted later.
-  void WatchCallers();
+  /// more requests were sent on it, and has the kernel probe all connections.
+  /// Call before `Listen`.
+  ///
+  /// @param silence_limit The sender of an open request is disconnected when
+  /// nothing was received from its host for so long. Not limited if empty or
+  /// if the kernel can't tell.
+  void WatchCallers(std::optional<Duration> silence_limit);
+
+  /// Checks for silent senders.
+  void Tick(Time now);
 
   /// Stops accepting connections; open ones stay open.
   void StopListening();
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <evhtp/evhtp.h>
 
+#include "caller_silence.h"
 #include "gentiandeal_p.h"
 
 namespace gentiandeal {
@@ -67,6 +68,8 @@
 
   /// The request that awaits its reply, or an invalid id.
   RequestId pending_request_;
+  /// Silence of the sender of `pending_request_`, where that is limited.
+  std::optional<CallerSilence> silence_;
 
  private:
   enum class Phase : uint8_t {
