Count a caller's waiting time from the arrival of its request

Cause: the deadline was counted from the moment at which the request was read.

Why it works: the kernel tells how long ago the last bytes of the connection arrived. The coordinator takes that off the deadline and off the time within which tasks must start, and refuses a job whose caller no longer waits. Where the kernel can't tell, the time counts from the reading as before.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -154,9 +154,10 @@
       RefreshOwnLoad();
       open_requests_[submit.request_.value_] = {
           submit.job_.id_, submit.job_.queue_, clock_.Now()};
-      spdlog::info("event=received request={} queue={} deadline_ms={}",
-                   submit.job_.id_, submit.job_.queue_,
-                   submit.job_.deadline_.ms_);
+      spdlog::info(
+          "event=received request={} queue={} deadline_ms={} waited_ms={}",
+          submit.job_.id_, submit.job_.queue_, submit.job_.deadline_.ms_,
+          submit.waited_.ms_);
       coordinator_.On(submit, clock_.Now(), &coordinator_out_);
       ExecuteCommands();
     };
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -132,6 +132,16 @@
            HasPeerClosed(SocketOf(found->second));
   }
 
+  Duration TimeSinceArrival(RequestId id) const {
+    const auto found = pending_requests_.find(id.value_);
+    PeerActivity activity;
+    if (found == pending_requests_.end() ||
+        GetPeerActivity(SocketOf(found->second), &activity)) {
+      return {};
+    }
+    return activity.data_age_;
+  }
+
   void Reply(RequestId id, const HttpReply& reply) {
     const auto found = pending_requests_.find(id.value_);
     if (found == pending_requests_.end()) return;
@@ -297,6 +307,10 @@
   return impl_->HasDisconnected(request);
 }
 
+Duration HttpServer::TimeSinceArrival(RequestId request) const {
+  return impl_->TimeSinceArrival(request);
+}
+
 void HttpServer::Reply(RequestId request, const HttpReply& reply) {
   impl_->Reply(request, reply);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -71,6 +71,10 @@
   /// `disconnected_` has not been called yet.
   bool HasDisconnected(RequestId request) const;
 
+  /// Time since the last bytes of a request arrived; zero if the kernel can't
+  /// tell. Meaningful when the request is reported.
+  Duration TimeSinceArrival(RequestId request) const;
+
   /// Sends the reply to a request. Ignored when its sender has disconnected.
   void Reply(RequestId request, const HttpReply& reply);
 
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -141,6 +141,9 @@
   if (!FitsSomewhere(spec)) {
     return Refuse(submit.request_, "never-runnable", {}, {}, out);
   }
+  if (submit.waited_ >= spec.deadline_) {
+    return Refuse(submit.request_, "deadline", {}, {}, out);
+  }
   const HostedJobStep& first = spec.steps_[0];
   const Duration slack = Slack(spec);
   const Duration wait = ExpectedWait(loads, {first.count_, first.need_, slack});
@@ -152,7 +155,7 @@
   Job& job = jobs_[id];
   job.request_ = submit.request_;
   job.spec_ = std::make_shared<const HostedJob>(spec);
-  job.accepted_ = now;
+  job.accepted_ = now - submit.waited_;
   for (const HostedJobStep& step : spec.steps_) {
     job.steps_.emplace_back(step.count_);
     job.remaining_.push_back(step.count_);
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -48,6 +48,7 @@
 struct SubmitHostedJob {
   RequestId request_;
   HostedJob job_;
+  Duration waited_{};  ///< From the arrival of the request until now.
 };
 
 /// Outcome of a job as reported to its caller.
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -47,9 +47,9 @@
     return job;
   }
 
-  RequestId Submit(const HostedJob& job) {
+  RequestId Submit(const HostedJob& job, Duration waited = {}) {
     const RequestId request{++last_request_};
-    coordinator_.On(SubmitHostedJob{request, job}, now_, &out_);
+    coordinator_.On(SubmitHostedJob{request, job, waited}, now_, &out_);
     return request;
   }
 
@@ -225,6 +225,28 @@
   BOOST_TEST(All<SendCancel>().size() == 1U);
 }
 
+// A request may have waited unread, for example while the process stood still.
+// Its caller's time is counted from its arrival.
+BOOST_AUTO_TEST_CASE(CountsTheDeadlineFromTheArrivalOfTheRequest) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1), Duration{300});
+  BOOST_REQUIRE(All<SendAssign>().size() == 1U);
+  BOOST_TEST(All<SendAssign>()[0].assign_.start_within_.ms_ == 380 - 200 - 300);
+  now_ = now_ + Duration{1199};
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST(All<AnswerHostedJob>().empty());
+  now_ = now_ + Duration{1};
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST((Answer() == HostedJobOutcome::kTimedOut));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAJobWhoseCallerNoLongerWaits) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1), Duration{1500});
+  BOOST_TEST((Answer() == HostedJobOutcome::kNotRun));
+  BOOST_TEST(All<SendAssign>().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
