--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -21,6 +21,8 @@
 struct HostedEvents {
   std::function<void(const SubmitHostedJob&)> submit_;
   std::function<void(const CallerDisconnected&)> caller_disconnected_;
+  /// A caller will be disconnected for its silence; for logs.
+  std::function<void(RequestId, Duration)> caller_silent_;
   std::function<void(const StartEnded&)> start_ended_;
   std::function<void(const StopEnded&)> stop_ended_;
   std::function<void(const PollEnded&)> poll_ended_;
@@ -154,9 +156,10 @@
       RefreshOwnLoad();
       open_requests_[submit.request_.value_] = {
           submit.job_.id_, submit.job_.queue_, clock_.Now()};
-      spdlog::info("event=received request={} queue={} deadline_ms={}",
-                   submit.job_.id_, submit.job_.queue_,
-                   submit.job_.deadline_.ms_);
+      spdlog::info(
+          "event=received request={} queue={} deadline_ms={} waited_ms={}",
+          submit.job_.id_, submit.job_.queue_, submit.job_.deadline_.ms_,
+          submit.waited_.ms_);
       coordinator_.On(submit, clock_.Now(), &coordinator_out_);
       ExecuteCommands();
     };
@@ -166,6 +169,12 @@
       coordinator_.On(gone, clock_.Now(), &coordinator_out_);
       ExecuteCommands();
     };
+    events.caller_silent_ = [this](RequestId request, Duration silence) {
+      const auto found = open_requests_.find(request.value_);
+      if (found == open_requests_.end()) return;
+      spdlog::warn("event=caller-silent request={} silent_ms={}",
+                   found->second.id_, silence.ms_);
+    };
     events.start_ended_ = [this](const StartEnded& ended) {
       if (ended.result_ != StartResult::kStarted) {
         spdlog::info("event=start-refused call={} result={}",
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -26,6 +26,12 @@
   std::function<void(RequestId, CallerRequest)> request_;
   /// The sender of a request disconnected before the reply.
   std::function<void(RequestId)> disconnected_ = [](RequestId) {};
+  /// The sender of a request has been silent too long; `disconnected_` follows.
+  std::function<void(RequestId, Duration silence)> silent_ = [](RequestId,
+                                                                Duration) {};
+  /// The kernel can't tell how long a sender has been silent. Called once.
+  std::function<void(std::error_code)> silence_unknown_ = [](std::error_code) {
+  };
 };
 
 struct HttpServerStats {
@@ -46,9 +52,29 @@
   /// Binds and listens. @returns the system's error on failure.
   std::error_code Listen(const Address& address);
 
+  /// Notices the end of a connection with an open request at once, also if
+  /// more requests were sent on it, and has the kernel probe all connections.
+  /// Call before `Listen`.
+  ///
+  /// @param silence_limit The sender of an open request is disconnected when
+  /// nothing was received from its host for so long. Not limited if empty or
+  /// if the kernel can't tell.
+  void WatchCallers(std::optional<Duration> silence_limit);
+
+  /// Checks for silent senders.
+  void Tick(Time now);
+
   /// Stops accepting connections; open ones stay open.
   void StopListening();
 
+  /// Whether the sender of a request is known to have disconnected, also if
+  /// `disconnected_` has not been called yet.
+  bool HasDisconnected(RequestId request) const;
+
+  /// Time since the last bytes of a request arrived; zero if the kernel can't
+  /// tell. Meaningful when the request is reported.
+  Duration TimeSinceArrival(RequestId request) const;
+
   /// Sends the reply to a request. Ignored when its sender has disconnected.
   void Reply(RequestId request, const HttpReply& reply);
 
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <evhtp/evhtp.h>
 
+#include "caller_silence.h"
 #include "gentiandeal_p.h"
 
 namespace gentiandeal {
@@ -20,6 +21,11 @@
   HttpServerConnection(const HttpServerConnection&) = delete;
   HttpServerConnection& operator=(const HttpServerConnection&) = delete;
 
+  /// Reads on behind a request that awaits its reply, so that the end of the
+  /// connection is noticed whatever the sender has sent before it. Bytes beyond
+  /// the limit of the input are discarded, and the reply is the last one.
+  void KeepReading() { keeps_reading_ = true; }
+
   /// The library has parsed a complete request.
   void OnRequest();
 
@@ -29,8 +35,9 @@
 
   /// Whether the connection must close after the reply to the current request.
   /// True for a chunked request: its end is not known here, so that bytes of a
-  /// following request may already have been passed to the library.
-  bool must_close() const { return chunked_; }
+  /// following request may already have been passed to the library. Also true
+  /// once bytes of a following request were discarded.
+  bool must_close() const { return chunked_ || discarded_; }
 
   /// The reply has been given to the library.
   ///
@@ -46,6 +53,8 @@
   /// finds a malformed body.
   void OnLibraryClose();
 
+  int socket() const { return bufferevent_getfd(socket_); }
+
   /// Closes the connection from the event loop. Safe to call within the
   /// library's callbacks.
   void ScheduleClose();
@@ -59,6 +68,8 @@
 
   /// The request that awaits its reply, or an invalid id.
   RequestId pending_request_;
+  /// Silence of the sender of `pending_request_`, where that is limited.
+  std::optional<CallerSilence> silence_;
 
  private:
   enum class Phase : uint8_t {
@@ -78,6 +89,7 @@
 
   bool ReadHead(evbuffer* from);
   size_t PassToLibrary(evbuffer* from, evbuffer* to);
+  void DiscardExcess(evbuffer* from);
   void CloseWhenSent();
 
   bufferevent* socket_;
@@ -88,6 +100,8 @@
   bool reading_ = false;  // part of the current request has arrived
   bool chunked_ = false;
   bool refused_ = false;
+  bool keeps_reading_ = false;
+  bool discarded_ = false;
   bool write_shut_down_ = false;
   uint64_t remaining_bytes_ = 0;  // of the current request, not yet passed
   uint64_t bytes_passed_ = 0;     // of the current request, head included
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -20,8 +20,8 @@
 constexpr double kSameOwnerPenalty = 20;
 /// Added where the task has to wait, so that free resources are preferred.
 constexpr double kWaitPenalty = 10;
-/// Times that a task may be reassigned after it was lost or cancelled, before
-/// its job is abandoned.
+/// Times that a task may be reassigned after it was lost, before its job is
+/// abandoned.
 constexpr uint32_t kMaxReassignments = 4;
 constexpr Duration kRetryAfter{1000};
 /// Age from which a job counts as long open: well below the delay after which a
@@ -158,6 +158,9 @@
   if (!FitsSomewhere(spec)) {
     return Refuse(submit.request_, "never-runnable", {}, {}, out);
   }
+  if (submit.waited_ >= spec.deadline_) {
+    return Refuse(submit.request_, "deadline", {}, {}, out);
+  }
   const HostedJobStep& first = spec.steps_[0];
   const Duration slack = Slack(spec);
   const Duration wait = ExpectedWait(loads, {first.count_, first.need_, slack});
@@ -169,7 +172,7 @@
   Job& job = jobs_[id];
   job.request_ = submit.request_;
   job.spec_ = std::make_shared<const HostedJob>(spec);
-  job.accepted_ = now;
+  job.accepted_ = now - submit.waited_;
   for (const HostedJobStep& step : spec.steps_) {
     job.steps_.emplace_back(step.count_);
     job.remaining_.push_back(step.count_);
@@ -305,6 +308,7 @@
       }
       break;
     case TaskEnd::kUnknown:
+    case TaskEnd::kCancelled:  // A run may be in progress still.
       CancelAssigned(&job, out);
       return Finish(ref.job_, HostedJobOutcome::kInterrupted, "worker-lost",
                     out);
@@ -312,7 +316,6 @@
       // A job that has started goes on while its answer is still useful.
       if (job.started_ && now < UsefulUntil(job)) break;
       return Abandon(ref.job_, "too-late", out);
-    case TaskEnd::kCancelled:
     case TaskEnd::kLost:
       ++task.reassignments_;
       break;
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -49,6 +49,7 @@
 struct SubmitHostedJob {
   RequestId request_;
   HostedJob job_;
+  Duration waited_{};  ///< From the arrival of the request until now.
 };
 
 /// Outcome of a job as reported to its caller.
@@ -182,7 +183,7 @@
   struct TaskRecord {
     TaskState state_ = TaskState::kWaiting;
     uint32_t failures_ = 0;
-    uint32_t reassignments_ = 0;  ///< After `kLost` or `kCancelled`.
+    uint32_t reassignments_ = 0;  ///< After `kLost`.
     TaskSerial serial_;
     InstanceName owner_;
   };
