--- a/tests/unit/hosted_world.cc
+++ b/tests/unit/hosted_world.cc
@@ -6,18 +6,18 @@
 namespace gentiandeal {
 namespace {
 
-constexpr int64_t kPauseMs = 450;    // as `HostedInstance` takes it for one
-constexpr int64_t kSilenceMs = 700;  // as `MeshLink` takes it for a loss
+constexpr int64_t kPauseMs = 450;  // as `HostedInstance` takes it for one
 constexpr int64_t kRecordLeaseMs = 2000;
 constexpr int64_t kRenewMs = 670;
 constexpr int64_t kResendMs = 1300;  // of the callers
-constexpr int64_t kSettleMs = 12000;
+constexpr int64_t kSettleMs = 25000;
 constexpr uint32_t kMaxAttempts = 3;
 
 }  // namespace
 
-HostedWorld::HostedWorld(uint64_t seed, HostedBreakage breakage)
-    : random_(seed), breakage_(breakage) {
+HostedWorld::HostedWorld(uint64_t seed, HostedBreakage breakage,
+                         const HostedTroubles& troubles)
+    : random_(seed), breakage_(breakage), troubles_(troubles) {
   for (size_t i = 0; i < kWorkers; ++i) {
     Worker& worker = workers_[i];
     worker.info_.id_.value_ = "w" + std::to_string(i);
@@ -27,7 +27,9 @@
     worker.info_.labels_ = {i % 3 == 0 ? "fast" : "plain"};
     worker.info_.capacity_ = {32000, 4096, 0};
     worker.info_.started_ms_ = now_.ms_ + static_cast<int64_t>(i);
+    worker.accepts_ms_ = worker.info_.started_ms_;
     worker.born_ = now_;
+    List(worker, worker.info_);
   }
   for (size_t i = 0; i < kInstances; ++i) {
     instances_[i].name_.value_ = "i" + std::to_string(i);
@@ -47,12 +49,12 @@
   AdvanceTo(now_ + Duration{2000});
   for (int i = 0; i < steps; ++i) {
     Act();
+    Trouble();
     AdvanceTo(now_ + Duration{static_cast<int64_t>(Roll(30))});
   }
   faults_ = false;
   store_down_ = false;
   for (Instance& one : instances_) one.turned_away_ = false;
-  for (auto& row : cut_) std::fill(std::begin(row), std::end(row), false);
   AdvanceTo(now_ + Duration{kSettleMs});
   CheckEnd();
 }
@@ -81,7 +83,12 @@
 
 void HostedWorld::AdvanceTo(Time end) { events_.RunUntil(end, &now_); }
 
+void HostedWorld::Note(const std::string& line) {
+  if (trace_ != nullptr) *trace_ << now_.ms_ << ' ' << line << '\n';
+}
+
 void HostedWorld::Violate(HostedRule rule, const std::string& detail) {
+  Note("violation " + std::to_string(static_cast<int>(rule)) + " " + detail);
   violations_.push_back({rule, detail});
 }
 
@@ -91,14 +98,19 @@
   const uint64_t roll = Roll(1000);
   const size_t one = Roll(kInstances);
   const size_t other = (one + 1 + Roll(kInstances - 1)) % kInstances;
-  if (roll < 700) return SubmitNew();
+  if (roll < 700) {
+    // Jobs that are sent again must find room to show a second run.
+    if (!troubles_.any() || Roll(2) == 0) SubmitNew();
+    return;
+  }
   if (roll < 706) return Kill(one, /*silent=*/Roll(2) == 0);
   if (roll < 712) return Pause(one, Between(100, 2500));
   if (roll < 716) return Drain(one);
   if (roll < 726) {
-    cut_[one][other] = true;
-    LoseLinks(one, kSilenceMs - 150, kSilenceMs + 150);
-    Later(Between(800, 4000), [this, one, other] { cut_[one][other] = false; });
+    const Time until = now_ + Duration{Between(800, 4000)};
+    Note("cut " + instances_[one].name_.value_ + " " +
+         instances_[other].name_.value_);
+    cut_until_[one][other] = cut_until_[other][one] = until;
     return;
   }
   if (roll < 730) {
@@ -114,26 +126,72 @@
           [this, one] { instances_[one].turned_away_ = false; });
     return;
   }
-  if (roll < 745) return Crash(&workers_[Roll(kWorkers)]);
+  if (roll < 745) {
+    Worker* worker = &workers_[Roll(kWorkers)];
+    return Crash(worker, Between(200, 8000),
+                 troubles_.restarts_ && Roll(2) == 0);
+  }
   if (roll < 755) {
     // A caller leaves.
     if (requests_.empty()) return;
     auto found = requests_.lower_bound(last_request_ - Roll(20));
     if (found == requests_.end() || found->second.answers_ > 0) return;
     const RequestId id{found->first};
-    Request& request = found->second;
-    request.broken_ = true;
-    jobs_[request.job_].attempts_ = kMaxAttempts;
-    const size_t index = request.instance_;
-    Deliver(index, request.life_, [this, index, id] {
-      instances_[index].desk_->On(CallerDisconnected{id}, now_,
-                                  &instances_[index].desk_out_);
-    });
+    jobs_[found->second.job_].attempts_ = kMaxAttempts;
+    LoseCaller(id.value_, 0);
+  }
+}
+
+void HostedWorld::Trouble() {
+  const uint64_t roll = Roll(1000);
+  const size_t one = Roll(kInstances);
+  Worker& worker = workers_[Roll(kWorkers)];
+  if (roll < 15) {
+    if (!troubles_.holds_) return;
+    if (Roll(2) == 0) return HoldOneLink(one);
+    HoldAllFrom(one);
+    // What it has sent by then outlasts it.
+    const bool silent = Roll(2) == 0;
+    Later(Between(0, 300), [this, one, silent] { Kill(one, silent); });
+  } else if (roll < 27) {
+    if (troubles_.stalls_) Stall(one, Roll(6) + 1);
+  } else if (roll < 52) {
+    if (!troubles_.callers_ || requests_.empty()) return;
+    const auto found = requests_.lower_bound(last_request_ - Roll(20));
+    if (found == requests_.end() || found->second.answers_ > 0) return;
+    ++seen_.callers_lost_;
+    LoseCaller(found->first, Roll(3) == 0 ? Between(1, 4) : Between(100, 400));
+  } else if (roll < 67) {
+    if (!troubles_.store_) return;
+    instances_[one].watch_held_until_ = now_ + Duration{Between(200, 3000)};
+  } else if (roll < 82) {
+    if (!troubles_.mutes_) return;
+    worker.mute_until_ = now_ + Duration{Between(200, 2500)};
+    worker.mutes_polls_ = Roll(2) == 0;
+    Note("mute " + worker.info_.id_.value_ + " until " +
+         std::to_string(worker.mute_until_.ms_) +
+         (worker.mutes_polls_ ? " all" : " orders"));
+  } else if (roll < 94) {
+    if (!troubles_.restarts_ || !worker.up_) return;
+    ++seen_.quick_restarts_;
+    Crash(&worker, Between(5, 300), /*under_its_id=*/true);
   }
 }
 
+void HostedWorld::Stall(size_t index, uint64_t times) {
+  const int64_t ms = Between(100, kPauseMs - 1);
+  if (instances_[index].up_ && instances_[index].paused_until_ <= now_) {
+    ++seen_.stalls_;
+  }
+  Pause(index, ms);
+  if (times <= 1) return;
+  Later(ms + Between(1, 120),
+        [this, index, times] { Stall(index, times - 1); });
+}
+
 void HostedWorld::Start(size_t index) {
   Instance& instance = instances_[index];
+  Note("up " + instance.name_.value_);
   ++instance.life_;
   instance.up_ = true;
   instance.draining_ = false;
@@ -160,19 +218,38 @@
   instance.unwritten_.reset();
   instance.seen_records_.clear();
   instance.seen_workers_.clear();
+  instance.entries_read_ = 0;
+  instance.workers_read_ = false;
+  instance.watch_held_until_ = now_;
+  std::fill(std::begin(instance.links_), std::end(instance.links_), 0);
+  std::fill(std::begin(instance.connect_at_), std::end(instance.connect_at_),
+            now_);
   instance.deferred_.clear();
 }
 
 void HostedWorld::Kill(size_t index, bool silent) {
   Instance& instance = instances_[index];
   if (!instance.up_) return;
+  Note("kill " + instance.name_.value_ + (silent ? " silent" : ""));
+  if (std::any_of(
+          instances_.begin(), instances_.end(), [&](const Instance& one) {
+            return one.up_ && &one != &instance && one.paused_until_ > now_;
+          })) {
+    ++seen_.stalled_at_kill_;
+  }
   instance.up_ = false;
   ++instance.life_;
-  LoseLinks(index, silent ? kSilenceMs : 1, silent ? kSilenceMs + 150 : 4);
-  // Its own ends are gone at once.
-  for (size_t other = 0; other < kInstances; ++other) {
-    links_[index][other].desk_end_ = false;
-    links_[other][index].owner_end_ = false;
+  for (const uint64_t id : LinksOf(index)) {
+    Link& link = links_[id];
+    const Side side = link.from_ == index ? Side::kDesk : Side::kOwner;
+    LinkEnd& end = side == Side::kDesk ? link.desk_ : link.owner_;
+    const bool was_open = end.open_;
+    end.open_ = false;
+    if (!silent && was_open) {
+      const Side other = side == Side::kDesk ? Side::kOwner : Side::kDesk;
+      Send(id, other, [this, id, other] { Close(id, other); });
+    }
+    ForgetClosed(id);
   }
   BreakCallers(index);
   Later(Between(200, 3000), [this, index] { Start(index); });
@@ -182,7 +259,7 @@
   Instance& instance = instances_[index];
   if (!instance.up_ || instance.paused_until_ > now_) return;
   instance.paused_until_ = now_ + Duration{ms};
-  if (ms > kSilenceMs) LoseLinks(index, kSilenceMs, kSilenceMs + 150);
+  Note("pause " + instance.name_.value_ + " " + std::to_string(ms));
   const uint64_t life = instance.life_;
   Later(ms, [this, index, life] {
     Instance& one = instances_[index];
@@ -227,7 +304,8 @@
   Instance& instance = instances_[index];
   if (!instance.up_ || instance.paused_until_ > now_) return;
   if (now_ - instance.last_tick_ > Duration{kPauseMs}) {
-    LoseLinks(index, 0, 0);
+    Note("resume " + instance.name_.value_);
+    CloseAll(index);
     instance.desk_->Resume(now_, &instance.desk_out_);
     instance.owner_->Resume(now_, &instance.owner_out_);
     CarryOut(index);
@@ -247,40 +325,9 @@
       [&](const WorkerId& id) { return instance.owner_->IsWorkerIdle(id); },
       &instance.claims_out_);
   CarryOut(index);
-  for (const InstanceRecord& peer : instance.claims_->Peers()) {
-    for (size_t to = 0; to < kInstances; ++to) {
-      if (instances_[to].name_ == peer.name_ &&
-          instances_[to].incarnation_ == peer.incarnation_) {
-        Connect(index, to);
-      }
-    }
-  }
-  if (instance.owner_->load_version() != instance.shared_version_) {
-    instance.shared_version_ = instance.owner_->load_version();
-    const OwnerLoad load = instance.owner_->load(now_);
-    for (size_t from = 0; from < kInstances; ++from) {
-      Link& link = links_[from][index];
-      if (from == index || !link.owner_end_) continue;
-      link.to_desk_ = std::max(link.to_desk_, now_ + Duration{Between(1, 4)});
-      const uint64_t id = link.id_;
-      Later((link.to_desk_ - now_).ms_, [this, from, index, id, load] {
-        Deliver(from, instances_[from].life_, [this, from, index, id, load] {
-          Link& one = links_[from][index];
-          if (one.id_ != id || !one.desk_end_) return;
-          one.reported_ = true;
-          instances_[from].claims_->SetReachable(instances_[index].name_, true);
-          instances_[from].desk_->OwnerLoadReported(
-              instances_[index].name_, instances_[index].data_centre_, load);
-        });
-      });
-    }
-  }
-  for (size_t to = 0; to < kInstances; ++to) {
-    if (to == index || Roll(4) != 0) continue;
-    ToOwner(index, to, [this](Instance* owner, SessionId session) {
-      owner->owner_->NoteSessionAlive(session, now_);
-    });
-  }
+  TickLinks(index);
+  CarryOut(index);
+  ShareLoad(index);
   if (breakage_ == HostedBreakage::kKeepSessions) {
     for (const uint64_t session : instance.sessions_) {
       instance.owner_->NoteSessionAlive({session}, now_);
@@ -324,7 +371,8 @@
   Instance& instance = instances_[index];
   const bool reachable = StoreReachable(index);
   instance.claims_->SetStoreUp(reachable);
-  if (!reachable || Roll(2) == 0) return;  // watches answer a little late
+  // Watches answer a little late.
+  if (!reachable || Roll(2) == 0 || instance.watch_held_until_ > now_) return;
   for (const auto& [name, stored] : records_) {
     if (instance.seen_records_[name] == stored.revision_) continue;
     instance.seen_records_[name] = stored.revision_;
@@ -339,23 +387,39 @@
     instance.claims_->InstanceUnlisted({seen->first});
     seen = instance.seen_records_.erase(seen);
   }
-  std::map<std::string, std::vector<LeasedWorkerRef>> pools;
-  for (const Worker& worker : workers_) {
-    const std::string& id = worker.info_.id_.value_;
-    const auto seen = instance.seen_workers_.find(id);
-    if (!worker.listed_) {
-      if (seen == instance.seen_workers_.end()) continue;
-      instance.claims_->WorkerUnlisted({id}, now_);
-      instance.seen_workers_.erase(seen);
-      continue;
+  const auto read = [&](size_t worker,
+                        const std::optional<LeasedWorker>& entry) {
+    const WorkerId& id = workers_[worker].info_.id_;
+    if (!entry) {
+      if (instance.seen_workers_.erase(id.value_) > 0) {
+        instance.claims_->WorkerUnlisted(id, now_);
+      }
+      return;
     }
-    pools[worker.info_.pool_].push_back(
-        std::make_shared<const LeasedWorker>(worker.info_));
-    if (seen != instance.seen_workers_.end() && seen->second == worker.info_) {
-      continue;
+    const int64_t present = workers_[worker].info_.started_ms_;
+    if (entry->started_ms_ != present) ++seen_.late_entries_;
+    const auto seen = instance.seen_workers_.find(id.value_);
+    if (seen != instance.seen_workers_.end()) {
+      if (seen->second == *entry) return;
+      if (seen->second.started_ms_ > entry->started_ms_) ++seen_.stale_entries_;
     }
-    instance.seen_workers_[id] = worker.info_;
-    instance.claims_->WorkerListed(worker.info_, now_, &instance.claims_out_);
+    Note("listed " + id.value_ + " at " + instance.name_.value_ + " started " +
+         std::to_string(entry->started_ms_));
+    instance.seen_workers_[id.value_] = *entry;
+    instance.claims_->WorkerListed(*entry, now_, &instance.claims_out_);
+  };
+  if (!instance.workers_read_) {
+    instance.workers_read_ = true;
+    for (size_t i = 0; i < kWorkers; ++i) read(i, listed_[i]);
+    instance.entries_read_ = entries_.size();
+  }
+  for (; instance.entries_read_ < entries_.size(); ++instance.entries_read_) {
+    const EntryEvent& event = entries_[instance.entries_read_];
+    read(event.worker_, event.entry_);
+  }
+  std::map<std::string, std::vector<LeasedWorkerRef>> pools;
+  for (const auto& [id, worker] : instance.seen_workers_) {
+    pools[worker.pool_].push_back(std::make_shared<const LeasedWorker>(worker));
   }
   instance.desk_->SetWorkers(std::move(pools));
 }
@@ -393,9 +457,12 @@
   spec.pool_ = Roll(8) == 0 ? "side" : "main";
   spec.payload_ = id;
   spec.max_failures_ = static_cast<uint32_t>(Roll(3) + 1);
+  // Some runs outlast the time after which a lost job is sent again.
+  const bool lasting = Roll(troubles_.any() ? 4 : 12) == 0;
   spec.objective_ = {static_cast<int64_t>(100 + Roll(1300))};
+  if (lasting) spec.objective_ = {Between(3000, 5000)};
   spec.useful_within_ = {3 * spec.objective_.ms_};
-  spec.deadline_ = {1500};
+  spec.deadline_ = {lasting ? 6000 : 1500};
   job.poison_ = Roll(20) == 0;
   const bool long_runs = Roll(4) == 0;
   const uint64_t steps = Roll(5) == 0 ? 2 : 1;
@@ -404,6 +471,7 @@
     step.count_ = static_cast<uint32_t>(Roll(4) + 1);
     step.need_ = {static_cast<int32_t>(4000 + Roll(14000)), 64, 0};
     step.expected_ = {static_cast<int64_t>(20 + Roll(long_runs ? 900 : 250))};
+    if (lasting) step.expected_ = {Between(900, 2500)};
     if (spec.pool_ == "main" && Roll(6) == 0) step.label_ = "fast";
     if (i > 0) step.depends_on_ = {0};
     spec.steps_.push_back(step);
@@ -421,26 +489,79 @@
   }
   ++job.attempts_;
   const RequestId request{++last_request_};
-  requests_[request.value_] = {id, index, instance.life_};
+  Request& sent = requests_[request.value_];
+  sent.job_ = id;
+  sent.instance_ = index;
+  sent.life_ = instance.life_;
+  const bool late = troubles_.callers_ && Chance(5);
+  sent.arrives_ = now_ + Duration{late ? Between(100, 2500) : 0};
+  Note("submit " + id + " request " + std::to_string(request.value_) + " to " +
+       instance.name_.value_ + " arrives " + std::to_string(sent.arrives_.ms_));
   HostedJob spec = job.spec_;
   if (breakage_ == HostedBreakage::kForgetOrder) {
     for (HostedJobStep& step : spec.steps_) step.depends_on_.clear();
   }
-  Deliver(index, instance.life_, [this, index, request, spec] {
-    instances_[index].desk_->On(SubmitHostedJob{request, spec}, now_,
-                                &instances_[index].desk_out_);
-  });
+  const uint64_t life = instance.life_;
+  const auto arrive = [this, index, life, request, spec] {
+    Deliver(index, life, [this, index, request, spec] {
+      instances_[index].desk_->On(SubmitHostedJob{request, spec}, now_,
+                                  &instances_[index].desk_out_);
+    });
+  };
+  if (!late) {
+    arrive();
+  } else {
+    ++seen_.late_requests_;
+    Later((sent.arrives_ - now_).ms_, arrive);
+  }
+  if (!troubles_.callers_) return;
+  // The caller's own deadline.
+  Later(spec.deadline_.ms_,
+        [this, request] { LoseCaller(request.value_, Between(1, 4)); });
+}
+
+void HostedWorld::LoseCaller(uint64_t id, int64_t noticed_after) {
+  Request& request = requests_[id];
+  if (request.answers_ > 0 || request.broken_) return;
+  request.broken_ = true;
+  Note("caller lost " + request.job_ + " request " + std::to_string(id) +
+       " noticed after " + std::to_string(noticed_after));
+  Resend(request.job_);
+  const size_t index = request.instance_;
+  const uint64_t life = request.life_;
+  const auto arrive = [this, index, life, id] {
+    Deliver(index, life, [this, index, id] {
+      instances_[index].desk_->On(CallerDisconnected{{id}}, now_,
+                                  &instances_[index].desk_out_);
+    });
+  };
+  // The end of a connection arrives after the request.
+  const Time at = std::max(now_ + Duration{noticed_after}, request.arrives_);
+  if (at <= now_) return arrive();
+  Later((at - now_).ms_, arrive);
 }
 
 void HostedWorld::Resend(const std::string& id) {
-  if (jobs_[id].attempts_ >= kMaxAttempts) return;
   Later(kResendMs, [this, id] {
-    if (jobs_[id].attempts_ >= kMaxAttempts) return;
+    CheckEnded(id);
+    CallerJob& job = jobs_[id];
+    job.given_up_ = job.attempts_ >= kMaxAttempts;
+    if (job.given_up_) return;
     ++seen_.resent_;
     Submit(id);
   });
 }
 
+void HostedWorld::CheckEnded(const std::string& id) {
+  for (const Worker& worker : workers_) {
+    for (const auto& [task, run] : worker.runs_) {
+      if (JobOf(task) != id) continue;
+      Violate(HostedRule::kEndsBeforeResend,
+              task + " at " + worker.info_.id_.value_);
+    }
+  }
+}
+
 void HostedWorld::BreakCallers(size_t index) {
   for (auto& [id, request] : requests_) {
     if (request.instance_ != index || request.answers_ > 0 || request.broken_) {
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <random>
 #include <set>
 #include <string>
@@ -44,6 +45,9 @@
   kNotRunIsTrue,    ///< What was told as not run has never started.
   kCompleteIsTrue,  ///< All tasks of a complete job have ended well.
   kAnsweredOnce,    ///< Each request has one answer, or its connection ends.
+  /// When a caller may send a lost job again, no run of it is in progress, and
+  /// none starts for the lost request.
+  kEndsBeforeResend,
 };
 
 struct HostedViolation {
@@ -51,6 +55,23 @@
   std::string detail_;
 };
 
+/// Kinds of trouble that the schedule adds to what it always plays.
+struct HostedTroubles {
+  bool holds_ = false;    ///< One direction of a link delivers late, in order.
+  bool stalls_ = false;   ///< Instances stand still, below the pause threshold.
+  bool callers_ = false;  ///< Lost callers and requests are noticed late.
+  bool store_ = false;    ///< Entries of workers and watches are late.
+  bool mutes_ = false;    ///< Workers answer nothing, and carry out late.
+  bool restarts_ = false;  ///< Workers restart quickly under their identifier.
+
+  bool any() const {
+    return holds_ || stalls_ || callers_ || store_ || mutes_ || restarts_;
+  }
+  static constexpr HostedTroubles All() {
+    return {true, true, true, true, true, true};
+  }
+};
+
 /// Coordinators, schedulers and ownership of several instances with their
 /// links, their workers, the store and callers, driven by a seeded random
 /// schedule on one simulated clock. Workers and the store keep to the users'
@@ -59,7 +80,10 @@
 /// away.
 class HostedWorld {
  public:
-  HostedWorld(uint64_t seed, HostedBreakage breakage);
+  HostedWorld(uint64_t seed, HostedBreakage breakage,
+              const HostedTroubles& troubles = {});
+  /// Writes what happens, one event a line.
+  void TraceTo(std::ostream* trace) { trace_ = trace; }
 
   /// Runs `steps` random actions, then lets everything end without faults.
   void Run(int steps);
@@ -81,6 +105,18 @@
     uint64_t lapsed_ = 0;
     uint64_t second_steps_ = 0;
     uint64_t sent_abroad_ = 0;
+    uint64_t read_late_ = 0;     ///< Frames held back and then read.
+    uint64_t closed_late_ = 0;   ///< Ends of links held back and then read.
+    uint64_t silent_links_ = 0;  ///< Ends closed for silence.
+    uint64_t stalls_ = 0;
+    uint64_t stalled_at_kill_ = 0;  ///< Kills while a peer stands still.
+    uint64_t callers_lost_ = 0;     ///< Noticed late by the coordinator.
+    uint64_t late_requests_ = 0;
+    uint64_t late_entries_ = 0;   ///< Read after the worker had restarted.
+    uint64_t stale_entries_ = 0;  ///< Of an earlier life, after a later one.
+    uint64_t muted_calls_ = 0;
+    uint64_t quick_restarts_ = 0;
+    uint64_t inherited_orders_ = 0;  ///< Accepted by a later life.
   };
   const Seen& seen() const { return seen_; }
 
@@ -89,16 +125,28 @@
   static constexpr size_t kWorkers = 12;
   static constexpr int64_t kTickMs = 20;
 
+  struct LinkEnd {
+    bool open_ = false;
+    Time heard_;  ///< When it last read a frame.
+    Time sent_;
+    /// Until when what is sent to it waits on its way.
+    Time held_until_;
+    Time next_;  ///< Frames to it keep their order.
+  };
   /// Connection over which one instance assigns tasks to another.
   struct Link {
-    uint64_t id_ = 0;  ///< 0: none.
-    bool desk_end_ = false;
-    bool owner_end_ = false;
+    size_t from_ = 0;
+    size_t to_ = 0;
+    uint64_t desk_life_ = 0;
+    uint64_t owner_life_ = 0;
+    Incarnation wanted_;
+    LinkEnd desk_;
+    LinkEnd owner_;
+    bool ready_ = false;     ///< The coordinator has the owner's hello.
     bool reported_ = false;  ///< The coordinator has the owner's load.
     SessionId session_;
-    Time to_owner_;  ///< Messages of one direction keep their order.
-    Time to_desk_;
   };
+  enum class Side : uint8_t { kDesk, kOwner };
 
   struct Instance {
     InstanceName name_;
@@ -126,6 +174,11 @@
     InstanceRecord written_;
     std::map<std::string, uint64_t> seen_records_;  ///< Name to revision.
     std::map<std::string, LeasedWorker> seen_workers_;
+    size_t entries_read_ = 0;
+    bool workers_read_ = false;
+    Time watch_held_until_;
+    uint64_t links_[kInstances] = {};  ///< To owners; 0: none.
+    Time connect_at_[kInstances];
     std::vector<std::function<void()>> deferred_;  ///< While it is paused.
   };
 
@@ -142,6 +195,11 @@
     bool fails_ = false;
     std::optional<Time> stopped_at_;
   };
+  /// Change of what the store lists.
+  struct EntryEvent {
+    size_t worker_ = 0;
+    std::optional<LeasedWorker> entry_;
+  };
   struct WaitingHold {
     size_t instance_ = 0;
     uint64_t life_ = 0;
@@ -152,9 +210,11 @@
   struct Worker {
     LeasedWorker info_;
     bool up_ = true;
-    bool listed_ = true;
-    Time back_at_;
     Time born_;
+    /// Start time of the earliest life whose orders it accepts.
+    int64_t accepts_ms_ = 0;
+    Time mute_until_;
+    bool mutes_polls_ = false;
     uint64_t fence_ = 0;
     int64_t lease_ms_ = 0;  ///< On its own clock.
     uint64_t last_end_ = 0;
@@ -171,6 +231,7 @@
     bool poison_ = false;  ///< Its tasks fail.
     uint32_t attempts_ = 0;
     uint32_t refusals_ = 0;
+    bool given_up_ = false;  ///< Lost, and not sent again.
     uint64_t starts_ = 0;
     /// Ends of failed runs that were taken note of, by task.
     std::map<std::string, std::vector<Time>> failures_;
@@ -183,6 +244,7 @@
     uint64_t life_ = 0;
     uint32_t answers_ = 0;
     bool broken_ = false;  ///< The connection has ended without an answer.
+    Time arrives_;
   };
 
   uint64_t Roll(uint64_t bound) { return random_() % bound; }
@@ -195,6 +257,8 @@
   void Violate(HostedRule rule, const std::string& detail);
 
   void Act();
+  void Trouble();
+  void Stall(size_t index, uint64_t times);
   void Start(size_t index);
   void Kill(size_t index, bool silent);
   void Pause(size_t index, int64_t ms);
@@ -210,11 +274,29 @@
   void Sync(size_t index);
   void Write(size_t index);
 
-  void Connect(size_t from, size_t to);
-  void LoseDeskEnd(size_t from, size_t to, uint64_t id);
-  void LoseOwnerEnd(size_t from, size_t to, uint64_t id);
-  void LoseLinks(size_t index, int64_t least, int64_t most);
-  bool Cut(size_t a, size_t b) const { return cut_[a][b] || cut_[b][a]; }
+  void Connect(size_t from, size_t to, Incarnation wanted);
+  void Accept(uint64_t id);
+  void TickLinks(size_t index);
+  void ShareLoad(size_t index);
+  void SendKeepalive(uint64_t id, Side to);
+  void SendLoad(uint64_t id);
+  /// Sends a frame to one side of a link, which reads it after all earlier
+  /// ones.
+  void Send(uint64_t id, Side to, const std::function<void()>& read);
+  void SendLate(uint64_t id, Side to, int64_t ms,
+                const std::function<void()>& read);
+  void Enqueue(uint64_t id, Side to, int64_t ms,
+               const std::function<void()>& arrive);
+  /// Closes one end. The other one learns it in order with what was sent.
+  void Close(uint64_t id, Side side);
+  void CloseAll(size_t index);
+  void HoldOneLink(size_t index);
+  /// Holds what an instance sends to the owners it assigns to.
+  void HoldAllFrom(size_t index);
+  void Hold(uint64_t id, Side to, int64_t ms);
+  std::vector<uint64_t> LinksOf(size_t index) const;
+  LinkEnd* OpenEnd(uint64_t id, Side side);
+  void ForgetClosed(uint64_t id);
 
   void CarryOut(size_t index);
   template <typename Outbox>
@@ -233,15 +315,17 @@
   void Do(size_t index, const DrainWorker& retire);
   void Do(size_t index, const ReleaseWorker& disown);
   // Only logged by instances.
-  void Do(size_t /*index*/, const RunOver& /*over*/) {}
-  void Do(size_t /*index*/, const WorkerRestarted& /*worker*/) {}
+  void Do(size_t index, const RunOver& over);
+  void Do(size_t index, const WorkerRestarted& worker);
   void Do(size_t /*index*/, const PollFailed& /*poll*/) {}
   void Do(size_t /*index*/, const TaskReassigned& /*task*/) {}
   void Do(size_t /*index*/, const JobRejoined& /*job*/) {}
   /// Sends over the link between two instances, in order.
   void ToOwner(size_t from, size_t to,
                const std::function<void(Instance*, SessionId)>& run);
+  size_t IndexOf(const InstanceName& name) const;
 
+  static std::string JobOf(const std::string& task);
   int64_t WorkerClock(const Worker& worker) const;
   Worker* FindWorker(const WorkerId& id);
   StartResult CarryOutStart(Worker* worker, const StartRun& start);
@@ -251,7 +335,11 @@
                   PollResult result);
   void Renew(Worker* worker, int64_t until_ms);
   void EndRun(Worker* worker, const std::string& task, RunEnd end);
-  void Crash(Worker* worker);
+  void Crash(Worker* worker, int64_t away, bool under_its_id);
+  void Return(Worker* worker, bool under_its_id);
+  void List(const Worker& worker, std::optional<LeasedWorker> entry);
+  bool Mute(const Worker& worker, bool poll);
+  bool Accepts(const Worker& worker, const LeasedWorker& addressed);
   void CheckStart(const Worker& worker, const std::string& task);
   void TakeNote(Worker* worker, const FinishedRun& end);
   void CheckFailures(const std::string& task);
@@ -259,11 +347,16 @@
   void SubmitNew();
   void Submit(const std::string& id);
   void Resend(const std::string& id);
+  void CheckEnded(const std::string& id);
   void BreakCallers(size_t index);
+  void LoseCaller(uint64_t request, int64_t noticed_after);
+  void Note(const std::string& line);
   void CheckEnd();
 
   std::mt19937_64 random_;
   HostedBreakage breakage_;
+  HostedTroubles troubles_;
+  std::ostream* trace_ = nullptr;
   bool faults_ = true;
   Time now_{1000000};
   uint64_t last_job_ = 0;
@@ -274,12 +367,14 @@
   EventQueue events_;
   std::vector<Instance> instances_{kInstances};
   std::vector<Worker> workers_{kWorkers};
-  Link links_[kInstances][kInstances];
-  bool cut_[kInstances][kInstances] = {};
+  std::map<uint64_t, Link> links_;
+  Time cut_until_[kInstances][kInstances];
   bool store_down_ = false;
   bool store_leases_pause_ = true;
   uint64_t revision_ = 100;
   std::map<std::string, StoredRecord> records_;
+  std::vector<EntryEvent> entries_;  ///< In the order of the store.
+  std::vector<std::optional<LeasedWorker>> listed_{kWorkers};
   std::map<std::string, CallerJob> jobs_;
   std::map<uint64_t, Request> requests_;
   /// Owner of each worker and fence.
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -7,91 +7,266 @@
 namespace {
 
 constexpr uint64_t kBreakEvery = 10;  // breakages that need not be constant
+constexpr int64_t kSilenceMs = 700;   // as `MeshLink` takes it for a loss
+constexpr int64_t kKeepaliveMs = 150;
+constexpr int64_t kReconnectMs = 200;
 
 }  // namespace
 
-void HostedWorld::Connect(size_t from, size_t to) {
-  Link& link = links_[from][to];
-  if (from == to || link.desk_end_ || Cut(from, to)) return;
-  if (!instances_[to].up_ || instances_[to].paused_until_ > now_) return;
-  if (link.owner_end_) LoseOwnerEnd(from, to, link.id_);
-  link = {};
-  link.id_ = ++last_link_;
-  link.desk_end_ = link.owner_end_ = true;
-  link.session_ = {++last_session_};
-  instances_[to].sessions_.insert(link.session_.value_);
-  instances_[to].shared_version_ = 0;  // reports at its next tick
+size_t HostedWorld::IndexOf(const InstanceName& name) const {
+  size_t index = 0;
+  while (index < kInstances && instances_[index].name_ != name) ++index;
+  return index;
+}
+
+std::vector<uint64_t> HostedWorld::LinksOf(size_t index) const {
+  std::vector<uint64_t> ids;
+  for (const auto& [id, link] : links_) {
+    if (link.from_ == index || link.to_ == index) ids.push_back(id);
+  }
+  return ids;
+}
+
+HostedWorld::LinkEnd* HostedWorld::OpenEnd(uint64_t id, Side side) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) return nullptr;
+  Link& link = found->second;
+  LinkEnd& end = side == Side::kDesk ? link.desk_ : link.owner_;
+  return end.open_ ? &end : nullptr;
+}
+
+void HostedWorld::ForgetClosed(uint64_t id) {
+  const auto found = links_.find(id);
+  if (found != links_.end() && !found->second.desk_.open_ &&
+      !found->second.owner_.open_) {
+    links_.erase(found);
+  }
+}
+
+void HostedWorld::Enqueue(uint64_t id, Side to, int64_t ms,
+                          const std::function<void()>& arrive) {
+  Link& link = links_[id];
+  LinkEnd& end = to == Side::kDesk ? link.desk_ : link.owner_;
+  Time at = std::max(end.next_, now_ + Duration{ms});
+  if (faults_) {
+    at = std::max({at, end.held_until_, cut_until_[link.from_][link.to_]});
+  }
+  end.next_ = at;
+  Later((at - now_).ms_, arrive);
+}
+
+void HostedWorld::Send(uint64_t id, Side to,
+                       const std::function<void()>& read) {
+  SendLate(id, to, Between(1, 3), read);
+}
+
+void HostedWorld::SendLate(uint64_t id, Side to, int64_t ms,
+                           const std::function<void()>& read) {
+  Link& link = links_[id];
+  (to == Side::kDesk ? link.owner_ : link.desk_).sent_ = now_;
+  const bool held =
+      (to == Side::kDesk ? link.desk_ : link.owner_).held_until_ > now_;
+  Enqueue(id, to, ms, [this, id, to, held, read] {
+    const auto found = links_.find(id);
+    if (found == links_.end()) return;
+    const Link& one = found->second;
+    const bool to_desk = to == Side::kDesk;
+    Deliver(to_desk ? one.from_ : one.to_,
+            to_desk ? one.desk_life_ : one.owner_life_,
+            [this, id, to, held, read] {
+              LinkEnd* end = OpenEnd(id, to);
+              if (end == nullptr) return;
+              if (held) ++seen_.read_late_;
+              end->heard_ = now_;
+              read();
+            });
+  });
 }
 
-void HostedWorld::LoseDeskEnd(size_t from, size_t to, uint64_t id) {
-  Deliver(from, instances_[from].life_, [this, from, to, id] {
-    Link& link = links_[from][to];
-    if (link.id_ != id || !link.desk_end_) return;
-    link.desk_end_ = false;
-    Instance& desk = instances_[from];
-    desk.claims_->SetReachable(instances_[to].name_, false);
-    desk.desk_->OwnerLost(instances_[to].name_, now_, &desk.desk_out_);
+void HostedWorld::Connect(size_t from, size_t to, Incarnation wanted) {
+  Instance& desk = instances_[from];
+  if (from == to || desk.links_[to] != 0 || desk.connect_at_[to] > now_) return;
+  desk.connect_at_[to] = now_ + Duration{kReconnectMs};
+  const uint64_t id = ++last_link_;
+  desk.links_[to] = id;
+  Link& link = links_[id];
+  link.from_ = from;
+  link.to_ = to;
+  link.desk_life_ = desk.life_;
+  link.wanted_ = wanted;
+  link.desk_.open_ = true;
+  link.desk_.heard_ = link.desk_.sent_ = now_;
+  Enqueue(id, Side::kOwner, Between(2, 6), [this, id] {
+    const auto found = links_.find(id);
+    if (found == links_.end()) return;
+    Link& one = found->second;
+    one.owner_life_ = instances_[one.to_].life_;
+    if (!instances_[one.to_].up_) {
+      Send(id, Side::kDesk, [this, id] { Close(id, Side::kDesk); });
+      return;
+    }
+    Deliver(one.to_, one.owner_life_, [this, id] { Accept(id); });
   });
 }
 
-void HostedWorld::LoseOwnerEnd(size_t from, size_t to, uint64_t id) {
-  Link& link = links_[from][to];
-  if (link.id_ != id || !link.owner_end_) return;
-  link.owner_end_ = false;
-  const SessionId session = link.session_;
-  Deliver(to, instances_[to].life_, [this, to, session] {
-    Instance& owner = instances_[to];
-    if (breakage_ == HostedBreakage::kKeepSessions) return;
-    if (owner.sessions_.erase(session.value_) == 0) return;
-    owner.owner_->EndSession(session, now_, &owner.owner_out_);
+void HostedWorld::Accept(uint64_t id) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) return;
+  Link& link = found->second;
+  Instance& owner = instances_[link.to_];
+  link.owner_.open_ = true;
+  link.owner_.heard_ = now_;
+  link.session_ = {++last_session_};
+  owner.sessions_.insert(link.session_.value_);
+  Note("session " + std::to_string(link.session_.value_) + " from " +
+       instances_[link.from_].name_.value_ + " at " + owner.name_.value_);
+  const Incarnation incarnation = owner.incarnation_;
+  Send(id, Side::kDesk, [this, id, incarnation] {
+    Link& one = links_[id];
+    if (one.wanted_ != incarnation) return Close(id, Side::kDesk);
+    one.ready_ = true;
   });
+  SendLoad(id);
 }
 
-// Each end notices the loss by itself.
-void HostedWorld::LoseLinks(size_t index, int64_t least, int64_t most) {
-  for (size_t other = 0; other < kInstances; ++other) {
-    if (other == index) continue;
-    const bool all = !instances_[index].up_ || least == 0 ||
-                     instances_[index].paused_until_ > now_;
-    if (!all && !Cut(index, other)) continue;
-    for (const auto& [from, to] :
-         {std::pair(index, other), std::pair(other, index)}) {
-      const uint64_t id = links_[from][to].id_;
-      const auto desk_end = [this, from = from, to = to, id] {
-        LoseDeskEnd(from, to, id);
-      };
-      const auto owner_end = [this, from = from, to = to, id] {
-        LoseOwnerEnd(from, to, id);
-      };
-      if (least == 0 && from == index) {
-        desk_end();
-      } else {
-        Later(Between(least, most), desk_end);
-      }
-      if (least == 0 && to == index) {
-        owner_end();
-      } else {
-        Later(Between(least, most), owner_end);
+void HostedWorld::SendLoad(uint64_t id) {
+  const size_t index = links_[id].to_;
+  const OwnerLoad load = instances_[index].owner_->load(now_);
+  Send(id, Side::kDesk, [this, id, index, load] {
+    Link& link = links_[id];
+    Instance& desk = instances_[link.from_];
+    const Instance& owner = instances_[index];
+    if (!link.reported_) {
+      link.reported_ = true;
+      desk.claims_->SetReachable(owner.name_, true);
+    }
+    desk.desk_->OwnerLoadReported(owner.name_, owner.data_centre_, load);
+  });
+}
+
+void HostedWorld::ShareLoad(size_t index) {
+  Instance& instance = instances_[index];
+  if (instance.owner_->load_version() == instance.shared_version_) return;
+  instance.shared_version_ = instance.owner_->load_version();
+  for (const uint64_t id : LinksOf(index)) {
+    if (links_[id].to_ == index && links_[id].owner_.open_) SendLoad(id);
+  }
+}
+
+void HostedWorld::TickLinks(size_t index) {
+  Instance& instance = instances_[index];
+  std::map<std::string, Incarnation> peers;
+  for (const InstanceRecord& peer : instance.claims_->Peers()) {
+    peers[peer.name_.value_] = peer.incarnation_;
+  }
+  for (const uint64_t id : LinksOf(index)) {
+    const bool desk = links_[id].from_ == index;
+    const Side self = desk ? Side::kDesk : Side::kOwner;
+    const LinkEnd* end = OpenEnd(id, self);
+    if (end == nullptr) continue;
+    if (desk) {
+      const std::string& name = instances_[links_[id].to_].name_.value_;
+      const auto peer = peers.find(name);
+      if (peer == peers.end() || peer->second != links_[id].wanted_) {
+        instance.connect_at_[links_[id].to_] = now_;
+        Close(id, self);
+        continue;
       }
     }
+    if (now_ - end->heard_ > Duration{kSilenceMs}) {
+      ++seen_.silent_links_;
+      Close(id, self);
+      continue;
+    }
+    const bool ready = !desk || links_[id].ready_;
+    if (ready && now_ - end->sent_ >= Duration{kKeepaliveMs}) {
+      SendKeepalive(id, desk ? Side::kOwner : Side::kDesk);
+    }
+  }
+  for (size_t to = 0; to < kInstances; ++to) {
+    const auto peer = peers.find(instances_[to].name_.value_);
+    if (peer != peers.end()) Connect(index, to, peer->second);
+  }
+}
+
+void HostedWorld::SendKeepalive(uint64_t id, Side to) {
+  Send(id, to, [this, id, to] {
+    if (to == Side::kDesk) return;
+    const Link& link = links_[id];
+    instances_[link.to_].owner_->NoteSessionAlive(link.session_, now_);
+  });
+}
+
+void HostedWorld::Close(uint64_t id, Side side) {
+  LinkEnd* end = OpenEnd(id, side);
+  if (end == nullptr) return;
+  end->open_ = false;
+  Link& link = links_[id];
+  const Side other = side == Side::kDesk ? Side::kOwner : Side::kDesk;
+  const bool held =
+      (other == Side::kDesk ? link.desk_ : link.owner_).held_until_ > now_;
+  Send(id, other, [this, id, other, held] {
+    if (held) ++seen_.closed_late_;
+    Close(id, other);
+  });
+  const size_t index = side == Side::kDesk ? link.from_ : link.to_;
+  Instance& instance = instances_[index];
+  if (side == Side::kDesk) {
+    const InstanceName owner = instances_[link.to_].name_;
+    Note("owner lost " + owner.value_ + " at " + instance.name_.value_);
+    if (instance.links_[link.to_] == id) instance.links_[link.to_] = 0;
+    if (link.reported_) {
+      instance.claims_->SetReachable(owner, false);
+      instance.desk_->OwnerLost(owner, now_, &instance.desk_out_);
+    }
+  } else if (breakage_ != HostedBreakage::kKeepSessions) {
+    Note("session ended " + std::to_string(link.session_.value_) + " at " +
+         instance.name_.value_);
+    instance.sessions_.erase(link.session_.value_);
+    instance.owner_->EndSession(link.session_, now_, &instance.owner_out_);
+  }
+  ForgetClosed(id);
+  CarryOut(index);
+}
+
+void HostedWorld::CloseAll(size_t index) {
+  for (const uint64_t id : LinksOf(index)) {
+    Close(id, links_[id].from_ == index ? Side::kDesk : Side::kOwner);
+  }
+}
+
+void HostedWorld::Hold(uint64_t id, Side to, int64_t ms) {
+  const Link& link = links_[id];
+  LinkEnd& end = to == Side::kDesk ? links_[id].desk_ : links_[id].owner_;
+  end.held_until_ = std::max(end.held_until_, now_ + Duration{ms});
+  Note("hold session " + std::to_string(link.session_.value_) +
+       (to == Side::kDesk ? " to desk " : " to owner ") +
+       instances_[to == Side::kDesk ? link.from_ : link.to_].name_.value_ +
+       " until " + std::to_string(end.held_until_.ms_));
+}
+
+void HostedWorld::HoldOneLink(size_t index) {
+  const std::vector<uint64_t> ids = LinksOf(index);
+  if (ids.empty()) return;
+  Hold(ids[Roll(ids.size())], Roll(2) == 0 ? Side::kDesk : Side::kOwner,
+       Between(100, 2500));
+}
+
+void HostedWorld::HoldAllFrom(size_t index) {
+  for (const uint64_t id : LinksOf(index)) {
+    if (links_[id].from_ != index) continue;
+    Hold(id, Side::kOwner,
+         Roll(2) == 0 ? Between(100, 2500) : Between(400, 800));
   }
 }
 
 void HostedWorld::ToOwner(
     size_t from, size_t to,
     const std::function<void(Instance*, SessionId)>& run) {
-  Link& link = links_[from][to];
-  if (!link.desk_end_ || !link.owner_end_ || Cut(from, to)) return;
-  link.to_owner_ = std::max(link.to_owner_,
-                            now_ + Duration{Chance(3) ? Between(50, 400) : 1});
-  const uint64_t id = link.id_;
-  Later((link.to_owner_ - now_).ms_, [this, from, to, id, run] {
-    Deliver(to, instances_[to].life_, [this, from, to, id, run] {
-      const Link& one = links_[from][to];
-      if (one.id_ != id || !one.owner_end_) return;
-      run(&instances_[to], one.session_);
-    });
-  });
+  const uint64_t id = instances_[from].links_[to];
+  if (OpenEnd(id, Side::kDesk) == nullptr || !links_[id].ready_) return;
+  SendLate(id, Side::kOwner, Chance(3) ? Between(50, 400) : 1,
+           [this, id, to, run] { run(&instances_[to], links_[id].session_); });
 }
 
 void HostedWorld::CarryOut(size_t index) {
@@ -120,6 +295,9 @@
   const auto found = requests_.find(answer.request_.value_);
   if (found == requests_.end()) return;
   Request& request = found->second;
+  Note("answer " + request.job_ + " request " +
+       std::to_string(answer.request_.value_) + " outcome " +
+       std::string(Name(answer.outcome_)) + " " + std::string(answer.reason_));
   if (request.broken_) return;
   if (++request.answers_ > 1) {
     return Violate(HostedRule::kAnsweredOnce, request.job_);
@@ -166,34 +344,39 @@
                                         &instances_[index].owner_out_);
   }
   ++seen_.sent_abroad_;
-  for (size_t to = 0; to < kInstances; ++to) {
-    if (instances_[to].name_ != send.owner_) continue;
-    if (!links_[index][to].desk_end_ || !links_[index][to].reported_) {
-      for (const AssignedTask& task : assign.tasks_) {
-        instances_[index].desk_->On(send.owner_,
-                                    {task.serial_, TaskEnd::kRefused, false},
-                                    now_, &instances_[index].desk_out_);
-      }
-      return;
+  const size_t to = IndexOf(send.owner_);
+  const uint64_t id = instances_[index].links_[to];
+  if (OpenEnd(id, Side::kDesk) == nullptr || !links_[id].ready_) {
+    for (const AssignedTask& task : assign.tasks_) {
+      instances_[index].desk_->On(send.owner_,
+                                  {task.serial_, TaskEnd::kRefused, false},
+                                  now_, &instances_[index].desk_out_);
     }
-    ToOwner(index, to, [this, assign](Instance* owner, SessionId session) {
-      owner->owner_->On(session, assign, now_, &owner->owner_out_);
-    });
+    return;
   }
+  Note("assign " + assign.name_ + " by " + instances_[index].name_.value_ +
+       " to " + send.owner_.value_ + " session " +
+       std::to_string(links_[id].session_.value_));
+  ToOwner(index, to, [this, assign](Instance* owner, SessionId session) {
+    Note("assigned " + assign.name_ + " at " + owner->name_.value_);
+    owner->owner_->On(session, assign, now_, &owner->owner_out_);
+  });
 }
 
 void HostedWorld::Do(size_t index, const SendCancel& send) {
+  Note("cancel " + send.job_ + " by " + instances_[index].name_.value_ +
+       " at " + send.owner_.value_);
   if (send.owner_ == instances_[index].name_) {
     return instances_[index].owner_->On(kLocalSession, send.cancel_, now_,
                                         &instances_[index].owner_out_);
   }
-  for (size_t to = 0; to < kInstances; ++to) {
-    if (instances_[to].name_ != send.owner_) continue;
-    const CancelTasks withdraw = send.cancel_;
-    ToOwner(index, to, [this, withdraw](Instance* owner, SessionId session) {
-      owner->owner_->On(session, withdraw, now_, &owner->owner_out_);
-    });
-  }
+  const CancelTasks withdraw = send.cancel_;
+  const std::string job = send.job_;
+  ToOwner(index, IndexOf(send.owner_),
+          [this, withdraw, job](Instance* owner, SessionId session) {
+            Note("cancelled " + job + " at " + owner->name_.value_);
+            owner->owner_->On(session, withdraw, now_, &owner->owner_out_);
+          });
 }
 
 void HostedWorld::Do(size_t index, const ReportTask& report) {
@@ -210,21 +393,13 @@
   if (report.session_ == kLocalSession) {
     return instance.desk_->On(instance.name_, ended, now_, &instance.desk_out_);
   }
-  for (size_t from = 0; from < kInstances; ++from) {
-    Link& link = links_[from][index];
-    if (link.session_ != report.session_ || !link.owner_end_) continue;
-    if (Cut(from, index)) return;
-    link.to_desk_ = std::max(link.to_desk_, now_ + Duration{Between(1, 3)});
-    const uint64_t id = link.id_;
-    Later((link.to_desk_ - now_).ms_, [this, from, index, id, ended] {
-      Deliver(from, instances_[from].life_, [this, from, index, id, ended] {
-        if (links_[from][index].id_ != id || !links_[from][index].desk_end_) {
-          return;
-        }
-        instances_[from].desk_->On(instances_[index].name_, ended, now_,
-                                   &instances_[from].desk_out_);
-      });
+  for (const auto& [id, link] : links_) {
+    if (link.session_ != report.session_ || !link.owner_.open_) continue;
+    Send(id, Side::kDesk, [this, id = id, index, ended] {
+      Instance& desk = instances_[links_[id].from_];
+      desk.desk_->On(instances_[index].name_, ended, now_, &desk.desk_out_);
     });
+    return;
   }
 }
 
@@ -238,6 +413,7 @@
 
 void HostedWorld::Do(size_t index, const AcquireWorker& own) {
   Instance& instance = instances_[index];
+  Note("own " + own.worker_.id_.value_ + " at " + instance.name_.value_);
   const std::string who =
       instance.name_.value_ + "/" + std::to_string(instance.life_);
   const auto [held, first] = fences_.emplace(
--- a/tests/unit/hosted_world_workers.cc
+++ b/tests/unit/hosted_world_workers.cc
@@ -9,12 +9,9 @@
 constexpr int64_t kMaxLeaseMs = 1000;    // of the workers' platform
 constexpr int64_t kStopMs = 50;          // longest time a stop takes
 constexpr int64_t kCallTimeoutMs = 250;  // of the worker calls
+constexpr int64_t kHeartbeatMs = 1500;   // of the workers' entries
 constexpr int64_t kHeartbeatsMs = 4500;  // silence until a worker is unlisted
 
-std::string JobOf(const std::string& task) {
-  return task.substr(0, task.find('.'));
-}
-
 uint32_t StepOf(const std::string& task) {
   const size_t last = task.rfind('.');
   const size_t before = task.rfind('.', last - 1);
@@ -24,6 +21,10 @@
 
 }  // namespace
 
+std::string HostedWorld::JobOf(const std::string& task) {
+  return task.substr(0, task.find('.'));
+}
+
 // Each worker's clock starts with its life and is up to 2 % slow.
 int64_t HostedWorld::WorkerClock(const Worker& worker) const {
   const int64_t age = (now_ - worker.born_).ms_;
@@ -37,6 +38,32 @@
   return nullptr;
 }
 
+bool HostedWorld::Mute(const Worker& worker, bool poll) {
+  if (!faults_ || worker.mute_until_ <= now_) return false;
+  if (poll && !worker.mutes_polls_) return false;
+  ++seen_.muted_calls_;
+  return true;
+}
+
+bool HostedWorld::Accepts(const Worker& worker, const LeasedWorker& addressed) {
+  if (addressed.started_ms_ < worker.accepts_ms_) return false;
+  if (addressed.started_ms_ < worker.info_.started_ms_) {
+    ++seen_.inherited_orders_;
+  }
+  return true;
+}
+
+void HostedWorld::Do(size_t index, const RunOver& over) {
+  Note("run over " + over.task_ + " run " + std::to_string(over.run_) + " " +
+       over.worker_.value_ + " at " + instances_[index].name_.value_ + " " +
+       std::string(Name(over.reason_)));
+}
+
+void HostedWorld::Do(size_t index, const WorkerRestarted& worker) {
+  Note("restarted " + worker.worker_.value_ + " at " +
+       instances_[index].name_.value_);
+}
+
 void HostedWorld::Do(size_t index, const StartRun& start) {
   const uint64_t life = instances_[index].life_;
   const auto answer = [this, index, life, call = start.call_](
@@ -46,8 +73,14 @@
                                    &instances_[index].owner_out_);
     });
   };
-  const bool unanswered = Chance(3);
+  const bool unanswered =
+      Mute(*FindWorker(start.worker_->id_), /*poll=*/false) || Chance(3);
   const bool never = unanswered && Roll(3) == 0;
+  Note("start " + start.task_ + " run " + std::to_string(start.run_) + " " +
+       start.worker_->id_.value_ + " by " + instances_[index].name_.value_ +
+       " session " + std::to_string(start.session_.value_) + " lease " +
+       std::to_string(start.lease_.ms_) +
+       (never ? " lost" : (unanswered ? " unanswered" : "")));
   const int64_t delay = unanswered && !never && Roll(2) == 0
                             ? Between(kCallTimeoutMs, 6000)
                             : Between(1, 3);
@@ -64,6 +97,10 @@
       return;
     }
     const StartResult result = CarryOutStart(worker, start);
+    Note("start carried out " + start.task_ + " run " +
+         std::to_string(start.run_) + " " + start.worker_->id_.value_ + " " +
+         std::string(Name(result)) + " lease left " +
+         std::to_string(worker->lease_ms_ - WorkerClock(*worker)));
     if (unanswered) return;
     const int64_t clock = WorkerClock(*worker);
     Later(Between(1, 3), [answer, result, clock] { answer(result, clock); });
@@ -71,7 +108,7 @@
 }
 
 StartResult HostedWorld::CarryOutStart(Worker* worker, const StartRun& start) {
-  if (worker->info_.started_ms_ != start.worker_->started_ms_) {
+  if (!Accepts(*worker, *start.worker_)) {
     return StartResult::kOtherIncarnation;
   }
   if (start.fence_.value_ < worker->fence_) {
@@ -125,6 +162,10 @@
                                        " and " + worker.info_.id_.value_);
     }
   }
+  if (job.given_up_) {
+    Violate(HostedRule::kEndsBeforeResend,
+            task + " starts at " + worker.info_.id_.value_);
+  }
   for (const uint32_t before : step.depends_on_) {
     for (uint32_t i = 0; i < job.spec_.steps_[before].count_; ++i) {
       const std::string earlier =
@@ -165,7 +206,11 @@
 
 void HostedWorld::Do(size_t index, const StopRun& stop) {
   const uint64_t life = instances_[index].life_;
-  const bool lost = Chance(3);
+  const bool lost =
+      Mute(*FindWorker(stop.worker_->id_), /*poll=*/false) || Chance(3);
+  Note("stop " + stop.task_ + " run " + std::to_string(stop.run_) + " " +
+       stop.worker_->id_.value_ + " by " + instances_[index].name_.value_ +
+       " " + std::string(stop.reason_) + (lost ? " lost" : ""));
   const auto answer = [this, index, life, call = stop.call_](bool answered) {
     Deliver(index, life, [this, index, call, answered] {
       instances_[index].owner_->On(StopEnded{call, answered}, now_,
@@ -182,8 +227,7 @@
 }
 
 bool HostedWorld::CarryOutStop(Worker* worker, const StopRun& stop) {
-  if (worker->info_.started_ms_ != stop.worker_->started_ms_ ||
-      stop.fence_.value_ < worker->fence_) {
+  if (!Accepts(*worker, *stop.worker_) || stop.fence_.value_ < worker->fence_) {
     return false;
   }
   worker->fence_ = stop.fence_.value_;
@@ -194,6 +238,7 @@
       found->second.stopped_at_) {
     return true;
   }
+  Note("stop carried out " + stop.task_ + " " + worker->info_.id_.value_);
   found->second.stopped_at_ = now_ + Duration{Between(1, kStopMs - kTickMs)};
   if (breakage_ == HostedBreakage::kFreeAtStop) {
     worker->finished_.push_back({++worker->last_end_, stop.task_,
@@ -213,7 +258,8 @@
   waiting.instance_ = index;
   waiting.life_ = instances_[index].life_;
   waiting.hold_ = hold;
-  waiting.lost_ = Chance(3);
+  waiting.lost_ =
+      Mute(*FindWorker(hold.worker_->id_), /*poll=*/true) || Chance(3);
   if (waiting.lost_) {
     Later(kCallTimeoutMs + hold.wait_.ms_, [this, waiting] {
       PollEnded ended;
@@ -232,7 +278,7 @@
 void HostedWorld::CarryOutHold(Worker* worker, WaitingHold waiting) {
   const PollWorker& hold = waiting.hold_;
   if (!worker->up_) return AnswerHold(worker, waiting, PollResult::kUnanswered);
-  if (worker->info_.started_ms_ != hold.worker_->started_ms_) {
+  if (!Accepts(*worker, *hold.worker_)) {
     return AnswerHold(worker, waiting, PollResult::kOtherIncarnation);
   }
   if (hold.fence_.value_ < worker->fence_) {
@@ -241,9 +287,11 @@
   }
   worker->fence_ = hold.fence_.value_;
   if (hold.lease_until_ms_) Renew(worker, *hold.lease_until_ms_);
+  const bool of_this_life =
+      worker->info_.started_ms_ == hold.worker_->started_ms_;
   std::erase_if(worker->finished_, [&](const FinishedRun& one) {
     if (one.number_ > hold.last_seen_) return false;
-    TakeNote(worker, one);
+    if (of_this_life) TakeNote(worker, one);
     return true;
   });
   if (!worker->finished_.empty() || hold.wait_.ms_ <= 0) {
@@ -284,6 +332,8 @@
   const auto found = worker->runs_.find(task);
   const uint32_t number = found->second.number_;
   worker->runs_.erase(found);
+  Note("end " + task + " run " + std::to_string(number) + " " +
+       worker->info_.id_.value_ + " " + std::to_string(static_cast<int>(end)));
   uint32_t& over = worker->over_[task];
   over = std::max(over, number);
   CallerJob& job = jobs_[JobOf(task)];
@@ -300,14 +350,7 @@
 
 void HostedWorld::TickWorkers() {
   for (Worker& worker : workers_) {
-    if (!worker.up_) {
-      if (now_ >= worker.back_at_) {
-        worker.up_ = worker.listed_ = true;
-        worker.born_ = now_;
-        ++worker.info_.started_ms_;
-      }
-      continue;
-    }
+    if (!worker.up_) continue;
     const bool lapsed = WorkerClock(worker) >= worker.lease_ms_;
     std::vector<std::pair<std::string, RunEnd>> over;
     for (const auto& [task, run] : worker.runs_) {
@@ -332,11 +375,11 @@
   }
 }
 
-void HostedWorld::Crash(Worker* worker) {
+void HostedWorld::Crash(Worker* worker, int64_t away, bool under_its_id) {
   if (!worker->up_) return;
+  Note("crash " + worker->info_.id_.value_ + " for " + std::to_string(away) +
+       (under_its_id ? " under its id" : ""));
   worker->up_ = false;
-  const int64_t away = Between(200, 8000);
-  worker->back_at_ = now_ + Duration{away};
   worker->fence_ = 0;
   worker->lease_ms_ = 0;
   worker->last_end_ = 0;
@@ -350,10 +393,41 @@
     AnswerHold(worker, one, PollResult::kUnanswered);
   }
   if (away > kHeartbeatsMs) {
-    Later(kHeartbeatsMs, [worker] {
-      if (!worker->up_) worker->listed_ = false;
+    Later(kHeartbeatsMs, [this, worker] {
+      if (!worker->up_) List(*worker, std::nullopt);
     });
   }
+  Later(away, [this, worker, under_its_id] { Return(worker, under_its_id); });
+}
+
+void HostedWorld::Return(Worker* worker, bool under_its_id) {
+  const LeasedWorker before = worker->info_;
+  worker->up_ = true;
+  worker->born_ = now_;
+  ++worker->info_.started_ms_;
+  if (!under_its_id) worker->accepts_ms_ = worker->info_.started_ms_;
+  Note("back " + worker->info_.id_.value_ + " started " +
+       std::to_string(worker->info_.started_ms_));
+  if (!troubles_.store_ || !faults_) return List(*worker, worker->info_);
+  const int64_t written = Between(0, kHeartbeatMs);
+  const auto list_present = [this, worker] {
+    if (worker->up_) List(*worker, worker->info_);
+  };
+  Later(written, list_present);
+  if (Roll(3) != 0) return;
+  // A write of its earlier life is carried out late, and its next one follows.
+  const int64_t again = written + Between(1, 1000);
+  Later(again, [this, worker, before] {
+    if (worker->up_) List(*worker, before);
+  });
+  Later(again + Between(1, kHeartbeatMs), list_present);
+}
+
+void HostedWorld::List(const Worker& worker,
+                       std::optional<LeasedWorker> entry) {
+  const auto index = static_cast<size_t>(&worker - workers_.data());
+  listed_[index] = entry;
+  entries_.push_back({index, std::move(entry)});
 }
 
 }  // namespace gentiandeal
