Don't renew the lease of a run that another owner started

Cause: a new owner bounded the lease of an inherited run by resend_ms after it had found the run. The caller may have lost its coordinator long before that. If the worker left the stops unanswered but answered polls, these renewed the lease past the time at which the caller submits the job again.

TheLeaseOfAnInheritedRunIsNotRenewed saw a lease where none is allowed; now it holds.

--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -312,7 +312,8 @@
     run.number_ = running.run_;
     run.start_seen_at_ = now;
     run.inherited_ = true;
-    run.must_end_by_ = ResubmissionLimit(now);
+    // Its caller may have been lost at any time before.
+    run.must_end_by_ = now;
     RequestStop(worker, &run, "inherited", now, out);
   }
 }
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -86,6 +86,24 @@
   BOOST_TEST(LatestLease() <= resubmitted - kStopTimeout.ms_);
 }
 
+// Guards against two runs of a task after its coordinator and its owner were
+// killed: the next owner of the worker renews the lease of the run, whose stops
+// get no answer, past the time at which the caller submits the job again.
+BOOST_AUTO_TEST_CASE(TheLeaseOfAnInheritedRunIsNotRenewed) {
+  running_["w"] = {{"00000000000000aa.0.0.0", 1, 60}};
+  AcquireAndConfirm("w");
+  size_t stops = 0;
+  for (int i = 0; i < 50; ++i) {
+    Play(20);
+    const auto sent = All<StopRun>();
+    for (; stops < sent.size(); ++stops) {
+      owner_.On(StopEnded{sent[stops].call_, false}, now_, &out_);
+    }
+  }
+  BOOST_TEST(stops > 3U);
+  BOOST_TEST(LatestLease() == 0);
+}
+
 // Guards against two runs of a task after a worker has restarted: the store
 // lists its earlier incarnation once more, and the runs of the present one
 // are taken for ended.
