Date the life of simulated instances as the links do

The random schedule's links take heartbeats, echoes and the limit of silence from PeerLiveness and MeshLink on both ends. Without this commit the schedule dates an instance's life by arrivals, which the owners no longer take for a sign of life.

--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "job_coordinator.h"
+#include "peer_liveness.h"
 #include "unit/event_queue.h"
 #include "worker_ownership.h"
 #include "worker_scheduler.h"
@@ -127,8 +128,7 @@
 
   struct LinkEnd {
     bool open_ = false;
-    Time heard_;  ///< When it last read a frame.
-    Time sent_;
+    PeerLiveness liveness_{Time{}};
     /// Until when what is sent to it waits on its way.
     Time held_until_;
     Time next_;  ///< Frames to it keep their order.
@@ -278,7 +278,10 @@
   void Accept(uint64_t id);
   void TickLinks(size_t index);
   void ShareLoad(size_t index);
-  void SendKeepalive(uint64_t id, Side to);
+  void SendHeartbeat(uint64_t id, Side to);
+  /// Sends a frame after a heartbeat, unless one was just sent.
+  void SendFrame(uint64_t id, Side to, int64_t ms,
+                 const std::function<void()>& read);
   void SendLoad(uint64_t id);
   /// Sends a frame to one side of a link, which reads it after all earlier
   /// ones.
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "mesh_link.h"
 #include "unit/hosted_world.h"
 
 /// Links between instances, and what an instance commands.
@@ -7,8 +8,6 @@
 namespace {
 
 constexpr uint64_t kBreakEvery = 10;  // breakages that need not be constant
-constexpr int64_t kSilenceMs = 700;   // as `MeshLink` takes it for a loss
-constexpr int64_t kKeepaliveMs = 150;
 constexpr int64_t kReconnectMs = 200;
 
 }  // namespace
@@ -62,8 +61,7 @@
 
 void HostedWorld::SendLate(uint64_t id, Side to, int64_t ms,
                            const std::function<void()>& read) {
-  Link& link = links_[id];
-  (to == Side::kDesk ? link.owner_ : link.desk_).sent_ = now_;
+  const Link& link = links_[id];
   const bool held =
       (to == Side::kDesk ? link.desk_ : link.owner_).held_until_ > now_;
   Enqueue(id, to, ms, [this, id, to, held, read] {
@@ -77,7 +75,6 @@
               LinkEnd* end = OpenEnd(id, to);
               if (end == nullptr) return;
               if (held) ++seen_.read_late_;
-              end->heard_ = now_;
               read();
             });
   });
@@ -95,7 +92,7 @@
   link.desk_life_ = desk.life_;
   link.wanted_ = wanted;
   link.desk_.open_ = true;
-  link.desk_.heard_ = link.desk_.sent_ = now_;
+  link.desk_.liveness_ = PeerLiveness(now_);
   Enqueue(id, Side::kOwner, Between(2, 6), [this, id] {
     const auto found = links_.find(id);
     if (found == links_.end()) return;
@@ -115,7 +112,7 @@
   Link& link = found->second;
   Instance& owner = instances_[link.to_];
   link.owner_.open_ = true;
-  link.owner_.heard_ = now_;
+  link.owner_.liveness_ = PeerLiveness(now_);
   link.session_ = {++last_session_};
   owner.sessions_.insert(link.session_.value_);
   Note("session " + std::to_string(link.session_.value_) + " from " +
@@ -132,7 +129,7 @@
 void HostedWorld::SendLoad(uint64_t id) {
   const size_t index = links_[id].to_;
   const OwnerLoad load = instances_[index].owner_->load(now_);
-  Send(id, Side::kDesk, [this, id, index, load] {
+  SendFrame(id, Side::kDesk, Between(1, 3), [this, id, index, load] {
     Link& link = links_[id];
     Instance& desk = instances_[link.from_];
     const Instance& owner = instances_[index];
@@ -162,7 +159,7 @@
   for (const uint64_t id : LinksOf(index)) {
     const bool desk = links_[id].from_ == index;
     const Side self = desk ? Side::kDesk : Side::kOwner;
-    const LinkEnd* end = OpenEnd(id, self);
+    LinkEnd* end = OpenEnd(id, self);
     if (end == nullptr) continue;
     if (desk) {
       const std::string& name = instances_[links_[id].to_].name_.value_;
@@ -173,14 +170,16 @@
         continue;
       }
     }
-    if (now_ - end->heard_ > Duration{kSilenceMs}) {
+    end->liveness_.EchoReceived();
+    if (now_ - end->liveness_.alive_at() > MeshLink::kSilenceTimeout) {
       ++seen_.silent_links_;
       Close(id, self);
       continue;
     }
     const bool ready = !desk || links_[id].ready_;
-    if (ready && now_ - end->sent_ >= Duration{kKeepaliveMs}) {
-      SendKeepalive(id, desk ? Side::kOwner : Side::kDesk);
+    if (ready &&
+        now_ - end->liveness_.sent_at() >= MeshLink::kHeartbeatInterval) {
+      SendHeartbeat(id, desk ? Side::kOwner : Side::kDesk);
     }
   }
   for (size_t to = 0; to < kInstances; ++to) {
@@ -189,14 +188,30 @@
   }
 }
 
-void HostedWorld::SendKeepalive(uint64_t id, Side to) {
-  Send(id, to, [this, id, to] {
-    if (to == Side::kDesk) return;
+void HostedWorld::SendHeartbeat(uint64_t id, Side to) {
+  LinkEnd* self = OpenEnd(id, to == Side::kDesk ? Side::kOwner : Side::kDesk);
+  if (self == nullptr) return;
+  const MeshHeartbeat heartbeat = self->liveness_.MakeHeartbeat(now_);
+  Send(id, to, [this, id, to, heartbeat] {
+    PeerLiveness& liveness = OpenEnd(id, to)->liveness_;
+    if (!liveness.On(heartbeat, now_) || to == Side::kDesk) return;
     const Link& link = links_[id];
-    instances_[link.to_].owner_->NoteSessionAlive(link.session_, now_);
+    instances_[link.to_].owner_->NoteSessionAlive(link.session_,
+                                                  liveness.alive_at());
   });
 }
 
+void HostedWorld::SendFrame(uint64_t id, Side to, int64_t ms,
+                            const std::function<void()>& read) {
+  const LinkEnd* self =
+      OpenEnd(id, to == Side::kDesk ? Side::kOwner : Side::kDesk);
+  if (self == nullptr) return;
+  if (now_ - self->liveness_.sent_at() >= MeshLink::kMinHeartbeatInterval) {
+    SendHeartbeat(id, to);
+  }
+  SendLate(id, to, ms, read);
+}
+
 void HostedWorld::Close(uint64_t id, Side side) {
   LinkEnd* end = OpenEnd(id, side);
   if (end == nullptr) return;
@@ -265,8 +280,8 @@
     const std::function<void(Instance*, SessionId)>& run) {
   const uint64_t id = instances_[from].links_[to];
   if (OpenEnd(id, Side::kDesk) == nullptr || !links_[id].ready_) return;
-  SendLate(id, Side::kOwner, Chance(3) ? Between(50, 400) : 1,
-           [this, id, to, run] { run(&instances_[to], links_[id].session_); });
+  SendFrame(id, Side::kOwner, Chance(3) ? Between(50, 400) : 1,
+            [this, id, to, run] { run(&instances_[to], links_[id].session_); });
 }
 
 void HostedWorld::CarryOut(size_t index) {
@@ -395,7 +410,7 @@
   }
   for (const auto& [id, link] : links_) {
     if (link.session_ != report.session_ || !link.owner_.open_) continue;
-    Send(id, Side::kDesk, [this, id = id, index, ended] {
+    SendFrame(id, Side::kDesk, Between(1, 3), [this, id = id, index, ended] {
       Instance& desk = instances_[links_[id].from_];
       desk.desk_->On(instances_[index].name_, ended, now_, &desk.desk_out_);
     });
