Keep a run that may be being stopped when its start is too late

Cause: a start without an answer counted as never carried out as soon as a list taken after its lease didn't show the run. It may have been carried out before, and a stop that arrived late may be ending it at that moment: a run that is being stopped is listed nowhere and lasts for up to the stop timeout. Its task was started again and its resources given away at once.

AStartThatIsTooLateMayBeBeingStopped saw the next start 20 ms after the lease; now it comes after two lists that are a stop settle time apart, as for runs that were seen.

--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -273,20 +273,22 @@
       run.start_uncertain_since_.reset();
       RequestStop(worker, &run, "start-unanswered", now, out);
     }
-    // A started run that isn't listed may be in the middle of a stop, which a
-    // new owner or a delayed order of this one may have caused.
-    if (run.start_seen_at_ && sent >= *run.start_seen_at_ &&
-        !run.missing_since_) {
-      run.missing_since_ = now;
+    // A run that isn't listed may be in the middle of a stop, which a new owner
+    // or a delayed order of this one may have caused. That includes a run whose
+    // start got no answer, until the start can't be carried out any more.
+    const bool started_or_never_will =
+        run.start_seen_at_ ? sent >= *run.start_seen_at_
+                           : run.start_valid_until_ms_ > 0 &&
+                                 ended.clock_ms_ > run.start_valid_until_ms_ &&
+                                 run.state_ == RunState::kStopping;
+    if (started_or_never_will && !run.missing_since_) run.missing_since_ = now;
+    const auto settled = [&](const std::optional<Time>& since) {
+      return since && sent >= *since + StopSettleTime();
+    };
+    if (settled(run.missing_since_) ||
+        (!run.start_seen_at_ && settled(run.stop_answered_at_))) {
+      ended_keys.push_back(run.key_);
     }
-    const std::optional<Time> since =
-        run.start_seen_at_ ? run.missing_since_ : run.stop_answered_at_;
-    const bool settled = since && sent >= *since + StopSettleTime();
-    const bool too_late = !run.start_seen_at_ &&
-                          run.start_valid_until_ms_ > 0 &&
-                          ended.clock_ms_ > run.start_valid_until_ms_ &&
-                          run.state_ == RunState::kStopping;
-    if (settled || too_late) ended_keys.push_back(run.key_);
   }
   for (const uint64_t key : ended_keys) {
     const auto found =
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -141,6 +141,27 @@
   BOOST_TEST(All<StopRun>().empty());
 }
 
+// Guards against two runs of a task whose start got no answer: it was carried
+// out shortly before it could no longer be, and a late stop is ending the run,
+// which is listed nowhere meanwhile.
+BOOST_AUTO_TEST_CASE(AStartThatIsTooLateMayBeBeingStopped) {
+  AcquireAndConfirm("w");
+  Assign(1, kTaskResources, 500, 3000);
+  const auto start = Last<StartRun>();
+  owner_.On(StartEnded{start.call_, StartResult::kUnanswered, std::nullopt},
+            now_, &out_);
+  size_t stops = 0;
+  for (int i = 0; i < 100 && All<StartRun>().size() == 1; ++i) {
+    Play(20);
+    const auto sent = All<StopRun>();
+    for (; stops < sent.size(); ++stops) {
+      owner_.On(StopEnded{sent[stops].call_, false}, now_, &out_);
+    }
+  }
+  BOOST_REQUIRE(All<StartRun>().size() == 2U);
+  BOOST_TEST(WorkerClock() - start.lease_until_ms_ > kStopTimeout.ms_);
+}
+
 // Guards against two runs of a task whose coordinator has given it up: the
 // assignment was held back on its way, and its arrival says nothing about the
 // coordinator now.
