--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -361,8 +361,9 @@
   void LoseCaller(uint64_t request, int64_t noticed_after);
   template <typename... Parts>
   void Note(const Parts&... parts) {
-    if (trace_ != nullptr)
-      ((*trace_ << now_.ms_ << ' ') << ... << parts) << '\n';
+    if (trace_ == nullptr) return;
+    *trace_ << now_.ms_ << ' ';
+    ((*trace_ << parts), ...) << '\n';
   }
   void CheckEnd();
 
