--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -126,6 +126,20 @@
   BOOST_TEST(All<StopRun>().empty());
 }
 
+// Guards against a worker that is never used again: after two quick restarts
+// the store lists the life between them, which no poll has shown.
+BOOST_AUTO_TEST_CASE(PollsOutweighAnEntryOfAnUnknownEarlierIncarnation) {
+  AcquireAndConfirm("w");
+  incarnations_["w"] = 9;
+  Play(1400);
+  LeasedWorker between = MakeWorker("w");
+  between.started_ms_ = 8;
+  owner_.Update(between, now_, &out_);
+  Play(1400);
+  Assign(1);
+  BOOST_TEST(All<StartRun>().size() == 1U);
+}
+
 // Guards against two runs of a task after a worker has restarted under its
 // identifier: the start arrived after the restart, which the owner learns
 // later.
