--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -83,20 +83,28 @@
 }
 
 Process::Process(const std::string& program,
-                 const std::vector<std::string>& words) {
+                 const std::vector<std::string>& words,
+                 const std::string& output_file) {
   const std::string path = ProgramPath(program);
   int input[2];
   int output[2];
   if (pipe2(input, O_CLOEXEC) != 0 || pipe2(output, O_CLOEXEC) != 0) {
     throw std::runtime_error("no pipe");
   }
+  constexpr mode_t kLogMode = 0644;
+  const int file =
+      output_file.empty()
+          ? -1
+          : open(output_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                 kLogMode);
   const pid_t parent = getpid();
   pid_ = fork();
   if (pid_ == 0) {
     dup2(input[0], STDIN_FILENO);
-    dup2(output[1], STDOUT_FILENO);
+    dup2(file >= 0 ? file : output[1], STDOUT_FILENO);
     Exec(path, words, parent);
   }
+  if (file >= 0) close(file);
   close(input[0]);
   close(output[1]);
   input_ = input[1];
@@ -321,6 +329,14 @@
   BOOST_REQUIRE_EQUAL(response.status_, 200);
 }
 
+void Proxy::Disturb(size_t pair, const std::string& disturbance) {
+  const std::string path =
+      "/disturb?pair=" + std::to_string(pair) + "&" + disturbance;
+  const HttpResponse response =
+      Fetch(process_.At("control"), {"PUT", path, {}, ""}, kPatience);
+  BOOST_REQUIRE_EQUAL(response.status_, 200);
+}
+
 Instance::Instance(const Folder& folder, const BootFile& boot)
     : process_("gentiandeal",
                {"serve", "--boot",
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -43,7 +43,10 @@
  public:
   /// Starts a program of the build folder. Its standard error goes to the
   /// test's own; standard input stays open until it is destroyed.
-  Process(const std::string& program, const std::vector<std::string>& words);
+  /// @param output_file File that standard output is appended to instead of
+  /// the pipe that `StartUpLine` and `ReadOutput` read.
+  Process(const std::string& program, const std::vector<std::string>& words,
+          const std::string& output_file = "");
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -173,6 +176,8 @@
   size_t Add(const Address& target, Address* address);
   /// @param faults Query such as `mode=cut`; empty passes everything.
   void SetFaults(size_t pair, const std::string& faults);
+  /// @param disturbance Query such as `what=hold&way=up&ms=300`.
+  void Disturb(size_t pair, const std::string& disturbance);
 
  private:
   Process process_;
--- a/tests/standins/proxy.cc
+++ b/tests/standins/proxy.cc
@@ -20,6 +20,17 @@
 /// `duplicate` and `reorder` hit each N-th datagram. A datagram from the target
 /// of one pair reaches the target of another from the first pair's port, so
 /// that each side knows the other by its pair.
+///   PUT /disturb?pair=I&what=W[&way=up|down][&...]  disturbs TCP for a while
+/// `way` is `up`, towards the target, `down`, or both if it is absent. `what`:
+///   `hold&ms=N`  what is sent in the next N ms, ends of connections included,
+///       is delivered after them, in order; a reset is delivered as a close
+///   `delay&ms=N&for_ms=T`  what is sent in the next T ms arrives N ms later
+///   `silence`  open connections pass nothing more, neither bytes nor ends; new
+///       ones work
+///   `reset`  resets open connections on both sides
+///   `drop_caller`, `drop_target`  resets open connections on this side, while
+///       the other side stays open and hears nothing; with `&close=1` it is
+///       closed rather than reset
 namespace gentiandeal::standin {
 namespace {
 
@@ -51,11 +62,28 @@
 
 class Pair;
 
+/// How a sender ended its direction of a connection.
+enum class End : uint8_t { kNone, kClose, kReset };
+
+/// Disturbances of one direction of all connections of a pair.
+struct Way {
+  Time held_until_;
+  Time delayed_until_;
+  Duration delay_;
+
+  /// When bytes that are sent at `now` are due.
+  Time Due(Time now) const {
+    const Time due = now < delayed_until_ ? now + delay_ : now;
+    return std::max(due, held_until_);
+  }
+};
+
 /// One direction of a TCP connection.
 struct Direction {
   struct Chunk {
     Time due_;
     std::string bytes_;
+    End end_ = End::kNone;
   };
   class Connection* connection_ = nullptr;
   bufferevent* from_ = nullptr;
@@ -63,7 +91,9 @@
   event* timer_ = nullptr;
   std::deque<Chunk> delayed_;
   int64_t passed_ = 0;
-  bool ended_ = false;  ///< The sender closed its side.
+  bool ended_ = false;   ///< The sender closed its side.
+  bool gone_ = false;    ///< The sender's socket is of no more use.
+  bool silent_ = false;  ///< Nothing is passed on.
 };
 
 /// One TCP connection: the accepted side and the side towards the target.
@@ -76,6 +106,9 @@
 
   void ApplyFaults();
   void Reset();
+  void Silence(bool up, bool down);
+  /// Ends one side only.
+  void DropSide(bool caller, bool reset);
   void SetPlace(std::list<Connection>::iterator place) { place_ = place; }
 
  private:
@@ -87,8 +120,15 @@
   void Bind(Direction* direction, bufferevent* from, bufferevent* to);
   void Connect();
   void Pass(Direction* direction, const std::string& bytes);
-  void Delay(Direction* direction, std::string bytes);
+  Time Due(const Direction& direction) const;
+  void Delay(Direction* direction, Direction::Chunk chunk);
+  void Deliver(Direction* direction, const Direction::Chunk& chunk);
   void Finish(Direction* direction);
+  /// Whether both sides have ended and there is nothing left to deliver.
+  bool Over() const {
+    return (up_.ended_ || (up_.gone_ && up_.silent_)) &&
+           (down_.ended_ || (down_.gone_ && down_.silent_));
+  }
   void Destroy();
   int64_t Budget(const Direction& direction) const;
 
@@ -112,10 +152,14 @@
   /// @returns the port, or 0 when it can't be bound.
   uint16_t Start(uint16_t port);
   void SetFaults(const Faults& faults);
+  /// @returns false if `what` is unknown.
+  bool Disturb(const Query& query);
 
   event_base* base() const { return base_; }
   const sockaddr_in& target() const { return target_; }
   const Faults& faults() const { return faults_; }
+  const Way& up() const { return up_; }
+  const Way& down() const { return down_; }
   void Remove(std::list<Connection>::iterator connection) {
     connections_.erase(connection);
   }
@@ -149,6 +193,8 @@
   const std::vector<std::unique_ptr<Pair>>* all_;
   uint16_t port_ = 0;
   Faults faults_;
+  Way up_;
+  Way down_;
   evconnlistener* listener_ = nullptr;
   evutil_socket_t datagrams_ = -1;
   std::list<Connection> connections_;
@@ -218,25 +264,58 @@
   return limit < 0 ? INT64_MAX : limit - direction.passed_;
 }
 
+void Connection::Silence(bool up, bool down) {
+  for (Direction* direction : {&up_, &down_}) {
+    if (direction == &up_ ? !up : !down) continue;
+    direction->silent_ = true;
+    direction->delayed_.clear();
+    evtimer_del(direction->timer_);
+  }
+}
+
+void Connection::DropSide(bool caller, bool reset) {
+  Silence(/*up=*/true, /*down=*/true);
+  Direction* direction = caller ? &up_ : &down_;
+  if (direction->gone_) return;
+  direction->gone_ = true;
+  const evutil_socket_t fd = bufferevent_getfd(direction->from_);
+  bufferevent_disable(direction->from_, EV_READ | EV_WRITE);
+  bufferevent_setfd(direction->from_, -1);
+  if (fd < 0) return;
+  if (reset) ResetOnClose(fd);
+  evutil_closesocket(fd);
+}
+
+Time Connection::Due(const Direction& direction) const {
+  const Time now = MonotonicClock().Now();
+  const Way& way = &direction == &up_ ? pair_->up() : pair_->down();
+  Time due = way.Due(now);
+  due = std::max(due, now + Duration{pair_->faults().delay_ms_});
+  if (!direction.delayed_.empty()) {
+    due = std::max(due, direction.delayed_.back().due_);
+  }
+  return due;
+}
+
 void Connection::OnRead(bufferevent* from, void* arg) {
   auto* self = static_cast<Connection*>(arg);
   Direction* direction = from == self->caller_ ? &self->up_ : &self->down_;
   evbuffer* input = bufferevent_get_input(from);
   std::string bytes(evbuffer_get_length(input), '\0');
   evbuffer_remove(input, bytes.data(), bytes.size());
-  if (self->pair_->faults().delay_ms_ > 0 || !direction->delayed_.empty()) {
-    self->Delay(direction, std::move(bytes));
-  } else {
-    self->Pass(direction, bytes);
-  }
+  if (direction->silent_) return;
+  self->Delay(direction, {self->Due(*direction), std::move(bytes)});
 }
 
-void Connection::Delay(Direction* direction, std::string bytes) {
-  const int64_t delay_ms = pair_->faults().delay_ms_;
-  const Time due = MonotonicClock().Now() + Duration{delay_ms};
-  direction->delayed_.push_back({due, std::move(bytes)});
+/// Delivers a chunk when it is due; may destroy the connection.
+void Connection::Delay(Direction* direction, Direction::Chunk chunk) {
+  const Duration left = chunk.due_ - MonotonicClock().Now();
+  if (left.ms_ <= 0 && direction->delayed_.empty()) {
+    return Deliver(direction, chunk);
+  }
+  direction->delayed_.push_back(std::move(chunk));
   if (evtimer_pending(direction->timer_, nullptr) != 0) return;
-  const timeval wait = ToTimeval(delay_ms);
+  const timeval wait = ToTimeval(std::max<int64_t>(left.ms_, 0));
   evtimer_add(direction->timer_, &wait);
 }
 
@@ -251,7 +330,15 @@
     const timeval wait = ToTimeval(std::max<int64_t>(left.ms_, 0));
     evtimer_add(direction->timer_, &wait);
   }
-  self->Pass(direction, chunk.bytes_);
+  self->Deliver(direction, chunk);
+}
+
+/// May destroy the connection.
+void Connection::Deliver(Direction* direction, const Direction::Chunk& chunk) {
+  if (chunk.end_ == End::kReset) return Reset();
+  if (chunk.end_ == End::kNone) return Pass(direction, chunk.bytes_);
+  direction->ended_ = true;
+  Finish(direction);
 }
 
 /// Passes bytes on; may destroy the connection.
@@ -274,14 +361,21 @@
 void Connection::OnEvent(bufferevent* side, int16_t what, void* arg) {
   auto* self = static_cast<Connection*>(arg);
   if ((what & BEV_EVENT_CONNECTED) != 0) return;
-  if ((what & BEV_EVENT_ERROR) != 0) {
-    self->Reset();
+  if ((what & (BEV_EVENT_ERROR | BEV_EVENT_EOF)) == 0) return;
+  const bool from_caller = side == self->caller_;
+  Direction* direction = from_caller ? &self->up_ : &self->down_;
+  const bool reset = (what & BEV_EVENT_ERROR) != 0;
+  direction->gone_ = true;
+  // Nobody is left to deliver the other direction to.
+  if (reset) self->Silence(!from_caller, from_caller);
+  if (direction->silent_) {
+    if (self->Over()) self->Destroy();
     return;
   }
-  if ((what & BEV_EVENT_EOF) == 0) return;
-  Direction* direction = side == self->caller_ ? &self->up_ : &self->down_;
-  direction->ended_ = true;
-  self->Finish(direction);
+  const Time due = self->Due(*direction);
+  // A reset would overtake the bytes that are delivered just before it.
+  const bool late = due > MonotonicClock().Now();
+  self->Delay(direction, {due, {}, reset && !late ? End::kReset : End::kClose});
 }
 
 void Connection::OnWritten(bufferevent* to, void* arg) {
@@ -294,13 +388,44 @@
 void Connection::Finish(Direction* direction) {
   if (!direction->delayed_.empty()) return;
   if (evbuffer_get_length(bufferevent_get_output(direction->to_)) > 0) return;
-  if (up_.ended_ && down_.ended_) {
+  if (Over()) {
     Destroy();
     return;
   }
   shutdown(bufferevent_getfd(direction->to_), SHUT_WR);
 }
 
+bool Pair::Disturb(const Query& query) {
+  if (!query.Has("what")) return false;
+  const std::string what = query.Text("what");
+  const std::string way = query.Has("way") ? query.Text("way") : "both";
+  const Duration span{query.Int("ms", 0)};
+  const Time now = MonotonicClock().Now();
+  for (Way* one : {&up_, &down_}) {
+    if (way == (one == &up_ ? "down" : "up")) continue;
+    if (what == "hold") one->held_until_ = now + span;
+    if (what == "delay") {
+      one->delay_ = span;
+      one->delayed_until_ = now + Duration{query.Int("for_ms", 0)};
+    }
+  }
+  if (what == "hold" || what == "delay") return true;
+  if (what == "reset") {
+    while (!connections_.empty()) connections_.front().Reset();
+    return true;
+  }
+  const bool caller = what == "drop_caller";
+  if (what != "silence" && !caller && what != "drop_target") return false;
+  for (Connection& connection : connections_) {
+    if (what == "silence") {
+      connection.Silence(way != "down", way != "up");
+    } else {
+      connection.DropSide(caller, !query.Has("close"));
+    }
+  }
+  return true;
+}
+
 uint16_t Pair::Start(uint16_t port) {
   port_ = port;
   datagrams_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -422,6 +547,7 @@
       : base_(base), server_(evhtp_new(base, nullptr)) {
     evhtp_set_cb(server_, "/pairs", &Control::OnPairs, this);
     evhtp_set_cb(server_, "/faults", &Control::OnFaults, this);
+    evhtp_set_cb(server_, "/disturb", &Control::OnDisturb, this);
   }
   uint16_t Start() { return BindLoopback(server_, 0); }
 
@@ -457,6 +583,15 @@
     Reply(request, EVHTP_RES_OK, "{}\n");
   }
 
+  static void OnDisturb(evhtp_request_t* request, void* arg) {
+    const auto* self = static_cast<Control*>(arg);
+    const Query query(request);
+    const auto index = static_cast<size_t>(query.Int("pair", -1));
+    const bool done =
+        index < self->pairs_.size() && self->pairs_[index]->Disturb(query);
+    Reply(request, done ? EVHTP_RES_OK : EVHTP_RES_NOTFOUND, "{}\n");
+  }
+
   event_base* base_;
   evhtp_t* server_;
   std::vector<std::unique_ptr<Pair>> pairs_;
