Let the stand-in platform keep its runs and show views of its store

Each instance can read the store through a port of its own, which shows it the relays' addresses. Workers restart under their id, leave stops and polls unanswered, and can have slow clocks; each run is recorded with the instance whose fence started it.

--- a/tests/standins/hosted.cc
+++ b/tests/standins/hosted.cc
@@ -10,7 +10,17 @@
 
 /// Stand-in for the users' platform: its store and a number of workers, as
 /// its published protocol tells. Counts what an instance must never cause.
-/// Faults are set by `PUT /standin/faults` on the control port.
+/// Control port:
+///   PUT /standin/faults?...  replaces the faults: `store_down`,
+///       `store_silent`, `silent` (share of the starts without an answer),
+///       `silent_stops`, `silent_polls`, `late_ms` (when they are carried out)
+///       and `worker` (index of the only one that is silent)
+///   PUT /standin/restart?worker=I[&entry_ms=N]  ends a worker with all it
+///       runs and starts it under its id; its entry in the store follows later
+///   PUT /standin/address?view=I&from=A&to=B  shows address A as B to those who
+///       read the store through port I of `--views`
+///   GET /standin/runs  all runs, and the pairs of runs of one task at once
+/// Each answers the counts, the last one also the runs.
 namespace gentiandeal::standin {
 namespace {
 
@@ -19,6 +29,8 @@
 struct Options {
   uint32_t workers_ = 4;
   int32_t cpu_milli_ = 32000;
+  uint32_t views_ = 1;
+  bool slow_clocks_ = false;
 };
 
 /// Faults in force; each request to set them replaces them all.
@@ -26,9 +38,33 @@
   bool store_down_ = false;    ///< The store answers 503.
   bool store_silent_ = false;  ///< The store answers nothing.
   double silent_share_ = 0;    ///< Starts that get no answer,
-  int64_t late_ms_ = 0;        ///< and are carried out so much later.
+  double silent_stops_ = 0;    ///< and stops,
+  double silent_polls_ = 0;    ///< and polls;
+  int64_t late_ms_ = 0;        ///< they are carried out so much later.
+  int worker_ = -1;            ///< The silent one; -1: all.
 };
 
+/// One run, as its worker saw it.
+struct RunRecord {
+  std::string task_;
+  int number_ = 0;
+  std::string worker_;
+  std::string instance_;  ///< Whose fence the start carried.
+  Time began_;
+  Time stop_received_;
+  Time ended_;
+  std::string how_;  ///< Empty while in progress.
+};
+
+Json ToJson(const RunRecord& run) {
+  return {{"task", run.task_},       {"run", run.number_},
+          {"worker", run.worker_},   {"instance", run.instance_},
+          {"began", run.began_.ms_}, {"stop", run.stop_received_.ms_},
+          {"ended", run.ended_.ms_}, {"how", run.how_}};
+}
+
+using RunPointer = std::shared_ptr<RunRecord>;
+
 /// What was seen; the last four must stay 0.
 struct Counts {
   int starts_ = 0;
@@ -44,7 +80,10 @@
   event_base* base_ = nullptr;
   Faults faults_;
   Counts counts_;
-  std::map<std::string, int> running_;  ///< By task, over all workers.
+  std::vector<RunPointer> runs_;
+  std::vector<std::pair<RunPointer, RunPointer>> overlaps_;
+  /// In progress, by task, over all workers.
+  std::map<std::string, std::vector<RunPointer>> running_;
   std::map<std::string, int> done_;
   std::mt19937_64 random_{1};
   MonotonicClock clock_;
@@ -83,48 +122,92 @@
 
 class Store {
  public:
-  explicit Store(World* world)
-      : world_(world), server_(world->base_, MakeEvents()) {}
-
-  Address Start() {
-    server_.Listen({"127.0.0.1", 0});
-    return server_.address();
+  explicit Store(World* world) : world_(world) {}
+
+  /// @returns the addresses of as many ports, each with its own view.
+  std::vector<std::string> Start(uint32_t views) {
+    std::vector<std::string> addresses;
+    for (uint32_t i = 0; i < views; ++i) {
+      View* view = &views_.emplace_back();
+      view->server_ =
+          std::make_unique<HttpServer>(world_->base_, MakeEvents(view));
+      view->server_->Listen({"127.0.0.1", 0});
+      addresses.push_back(ToString(view->server_->address()));
+    }
+    return addresses;
   }
 
   void Put(const std::string& key, const std::string& value,
            uint64_t lease = 0) {
     Item& item = items_[key];
-    item = {EncodeBase64(value), ++revision_, lease};
+    item = {value, ++revision_, lease};
     history_[revision_] = key;
     Notify();
   }
 
+  void ShowAddress(size_t view, const std::string& from,
+                   const std::string& to) {
+    std::next(views_.begin(), static_cast<int64_t>(view))->shown_[from] = to;
+  }
+
+  /// Instance whose record was written at a revision.
+  std::string WriterOf(uint64_t revision) const {
+    const auto found = history_.find(revision);
+    if (found == history_.end()) return "-";
+    return found->second.substr(found->second.rfind('/') + 1);
+  }
+
  private:
   struct Item {
     std::string value_;
     uint64_t revision_ = 0;
     uint64_t lease_ = 0;
   };
-  struct Watch {
+  /// What one instance reads.
+  struct View {
+    std::unique_ptr<HttpServer> server_;
+    std::map<std::string, std::string> shown_;  ///< Instead of an address.
+  };
+  struct Sender {
+    View* view_ = nullptr;
     RequestId request_;
+    bool operator==(const Sender& other) const {
+      return view_ == other.view_ && request_ == other.request_;
+    }
+  };
+  struct Watch {
+    Sender sender_;
     std::string prefix_;
     uint64_t after_ = 0;
   };
 
-  HttpServerEvents MakeEvents() {
+  HttpServerEvents MakeEvents(View* view) {
     HttpServerEvents events;
-    events.request_ = [this](RequestId id, const CallerRequest& read) {
-      Handle(id, read);
+    events.request_ = [this, view](RequestId id, const CallerRequest& read) {
+      Handle({view, id}, read);
     };
-    events.disconnected_ = [this](RequestId id) {
-      watches_.remove_if([&](const Watch& one) { return one.request_ == id; });
+    events.disconnected_ = [this, view](RequestId id) {
+      const Sender gone{view, id};
+      watches_.remove_if([&](const Watch& one) { return one.sender_ == gone; });
     };
     return events;
   }
 
-  static Json ToJson(const std::string& key, const Item& item) {
+  static std::string Shown(const View& view, std::string value) {
+    for (const auto& [from, to] : view.shown_) {
+      const std::string quoted = '"' + from + '"';
+      const size_t at = value.find(quoted);
+      if (at != std::string::npos) {
+        value.replace(at, quoted.size(), '"' + to + '"');
+      }
+    }
+    return value;
+  }
+
+  static Json ToJson(const View& view, const std::string& key,
+                     const Item& item) {
     return {{"key", key},
-            {"value", item.value_},
+            {"value", EncodeBase64(Shown(view, item.value_))},
             {"rev", item.revision_},
             {"created", item.revision_},
             {"lease", item.lease_}};
@@ -134,7 +217,7 @@
     return key.compare(0, prefix.size(), prefix) == 0;
   }
 
-  void Handle(RequestId id, const CallerRequest& read) {
+  void Handle(const Sender& id, const CallerRequest& read) {
     if (world_->faults_.store_silent_) return;
     if (world_->faults_.store_down_) return Reply(id, 503, Json::object());
     auto query = ParseQuery(read.path_);
@@ -168,29 +251,29 @@
     Reply(id, 200, Json::object());
   }
 
-  void Reply(RequestId id, int status, const Json& body) {
-    server_.Reply(id, ReplyWith(status, body));
+  void Reply(const Sender& id, int status, const Json& body) {
+    id.view_->server_->Reply(id.request_, ReplyWith(status, body));
   }
 
-  void Range(RequestId id, const std::string& prefix) {
+  void Range(const Sender& id, const std::string& prefix) {
     Json items = Json::array();
     for (const auto& [key, item] : items_) {
-      if (Under(key, prefix)) items.push_back(ToJson(key, item));
+      if (Under(key, prefix)) items.push_back(ToJson(*id.view_, key, item));
     }
     Reply(
         id, 200,
         {{"items", items}, {"more_pages", false}, {"current_rev", revision_}});
   }
 
-  void Key(RequestId id, const std::string& key) {
+  void Key(const Sender& id, const std::string& key) {
     const auto found = items_.find(key);
     if (found == items_.end()) return Reply(id, 404, Json::object());
-    Json json = ToJson(key, found->second);
+    Json json = ToJson(*id.view_, key, found->second);
     json["current_rev"] = revision_;
     Reply(id, 200, json);
   }
 
-  void Transaction(RequestId id, const Json& body) {
+  void Transaction(const Sender& id, const Json& body) {
     for (const Json& row : body.at("expect")) {
       const auto found = items_.find(row.at("key").get<std::string>());
       const uint64_t revision =
@@ -236,16 +319,18 @@
     Notify();
   }
 
-  Json EventsSince(const std::string& prefix, uint64_t after) const {
+  Json EventsSince(const Watch& watch) const {
     Json events = Json::array();
-    for (auto one = history_.upper_bound(after); one != history_.end(); ++one) {
-      if (!Under(one->second, prefix)) continue;
+    for (auto one = history_.upper_bound(watch.after_); one != history_.end();
+         ++one) {
+      if (!Under(one->second, watch.prefix_)) continue;
       const auto found = items_.find(one->second);
       if (found == items_.end()) {
         events.push_back(
             {{"key", one->second}, {"rev", one->first}, {"tombstone", true}});
       } else {
-        events.push_back(ToJson(one->second, found->second));
+        events.push_back(
+            ToJson(*watch.sender_.view_, one->second, found->second));
       }
     }
     return events;
@@ -253,20 +338,20 @@
 
   void Notify() {
     for (auto watch = watches_.begin(); watch != watches_.end();) {
-      const Json events = EventsSince(watch->prefix_, watch->after_);
+      const Json events = EventsSince(*watch);
       if (events.empty()) {
         ++watch;
         continue;
       }
-      Reply(watch->request_, 200,
+      Reply(watch->sender_, 200,
             {{"events", events}, {"current_rev", revision_}});
       watch = watches_.erase(watch);
     }
   }
 
-  void EndWatch(RequestId id) {
+  void EndWatch(const Sender& id) {
     for (auto watch = watches_.begin(); watch != watches_.end(); ++watch) {
-      if (!(watch->request_ == id)) continue;
+      if (!(watch->sender_ == id)) continue;
       watches_.erase(watch);
       return Reply(id, 200,
                    {{"events", Json::array()}, {"current_rev", revision_}});
@@ -280,59 +365,111 @@
   std::map<uint64_t, std::string> history_;
   std::map<uint64_t, std::pair<Time, Duration>> leases_;
   std::list<Watch> watches_;
-  HttpServer server_;
+  std::list<View> views_;
 };
 
 /// One worker. A task's payload is its run time in milliseconds.
 class HostedWorker {
  public:
-  HostedWorker(World* world, std::string id, int32_t cpu_milli)
+  HostedWorker(World* world, Store* store, int index, const Options& options)
       : world_(world),
-        id_(std::move(id)),
-        cpu_milli_(cpu_milli),
-        server_(world->base_, MakeEvents()) {}
-
-  void Start(Store* store) {
-    server_.Listen({"127.0.0.1", 0});
-    const Json entry = {
-        {"service", "dossier"},
-        {"addr", ToString(server_.address())},
-        {"zone", "rennes"},
-        {"state", "ready"},
-        {"capacity", {{"cpu", cpu_milli_}, {"mem_mb", 131072}, {"gpu", 0}}},
-        {"labels", {"a", "r1"}},
-        {"born", kBorn},
-        {"seq", 1}};
-    store->Put("servers/" + id_, entry.dump());
+        store_(store),
+        index_(index),
+        id_("i-" + std::to_string(index)),
+        cpu_milli_(options.cpu_milli_),
+        clock_rate_(options.slow_clocks_ && index % 2 == 1 ? kSlowClock : 1) {}
+
+  void Start() {
+    Listen({"127.0.0.1", 0});
+    Register();
     Check();
   }
 
+  /// Ends this life of the worker and begins the next one at once.
+  /// @param entry_ms Until the store lists the new life.
+  void Restart(int64_t entry_ms) {
+    const Address address = server_->address();
+    while (!runs_.empty()) End(runs_.begin()->first, "gone");
+    server_.reset();
+    waiting_ = RequestId{};
+    fence_ = 0;
+    lease_ = 0;
+    last_end_ = 0;
+    ended_.clear();
+    finished_.clear();
+    born_ += std::max<int64_t>(1, (world_->clock_.Now() - life_began_).ms_);
+    Listen(address);
+    if (entry_ms == 0) return Register();
+    After(world_->base_, entry_ms, [this, born = born_] {
+      if (born_ == born) Register();
+    });
+  }
+
+  std::string address() const { return ToString(server_->address()); }
+
  private:
-  static constexpr int64_t kBorn = 1790000000000;
+  static constexpr double kSlowClock = 0.98;
   /// Of a task: every one asks for the same.
   static constexpr int32_t kTaskCpu = 14000;
   static constexpr int64_t kLeaseCheckMs = 10;
   static constexpr int64_t kStopMs = 50;
+  static constexpr int64_t kClockStartMs = 1000;
 
   struct Run {
+    RunPointer record_;
     int number_ = 0;
     Time until_;
     Time since_;
     bool stopping_ = false;  ///< Takes resources, and is listed nowhere.
   };
 
+  void Listen(const Address& address) {
+    life_began_ = world_->clock_.Now();
+    server_ = std::make_unique<HttpServer>(world_->base_, MakeEvents());
+    if (const auto error = server_->Listen(address)) {
+      throw std::runtime_error("worker can't listen: " + error.message());
+    }
+  }
+
+  void Register() {
+    const Json entry = {
+        {"service", "dossier"},
+        {"addr", address()},
+        {"zone", "rennes"},
+        {"state", "ready"},
+        {"capacity", {{"cpu", cpu_milli_}, {"mem_mb", 131072}, {"gpu", 0}}},
+        {"labels", {"a", "r1"}},
+        {"born", born_},
+        {"seq", 1}};
+    store_->Put("servers/" + id_, entry.dump());
+  }
+
+  void Handle(const std::string& path, RequestId id, const Json& body) {
+    if (path == "/-/hold") return Hold(id, body);
+    if (path == "/-/run-stop") return Stop(id, body);
+    Start(id, body);
+  }
+
+  double SilentShare(const std::string& path) const {
+    const Faults& faults = world_->faults_;
+    if (faults.worker_ >= 0 && faults.worker_ != index_) return 0;
+    if (path == "/-/hold") return faults.silent_polls_;
+    if (path == "/-/run-stop") return faults.silent_stops_;
+    return faults.silent_share_;
+  }
+
   HttpServerEvents MakeEvents() {
     HttpServerEvents events;
     events.request_ = [this](RequestId id, const CallerRequest& read) {
       const Json body = Json::parse(read.body_, nullptr, false);
-      if (read.path_ == "/-/hold") return Hold(id, body);
-      if (read.path_ == "/-/run-stop") return Stop(id, body);
       std::uniform_real_distribution<double> share(0, 1);
-      if (share(world_->random_) >= world_->faults_.silent_share_) {
-        return Start(id, body);
+      if (share(world_->random_) >= SilentShare(read.path_)) {
+        return Handle(read.path_, id, body);
       }
       After(world_->base_, world_->faults_.late_ms_,
-            [this, body] { Start(RequestId{}, body); });
+            [this, path = read.path_, body, born = born_] {
+              if (born_ == born) Handle(path, RequestId{}, body);
+            });
     };
     events.disconnected_ = [this](RequestId id) {
       if (waiting_ == id) waiting_ = RequestId{};
@@ -340,7 +477,11 @@
     return events;
   }
 
-  int64_t Clock() const { return world_->clock_.Now().ms_ % 1000000000; }
+  int64_t Clock() const {
+    const auto ms =
+        static_cast<double>((world_->clock_.Now() - life_began_).ms_);
+    return kClockStartMs + static_cast<int64_t>(ms * clock_rate_);
+  }
 
   bool TakeFence(RequestId id, const Json& body) {
     const auto fence = body.value("fence", uint64_t{0});
@@ -361,8 +502,8 @@
 
   void Reply(RequestId id, int status, Json body) {
     body["clock_ms"] = Clock();
-    body["born"] = kBorn;
-    if (id.valid()) server_.Reply(id, ReplyWith(status, body));
+    body["born"] = born_;
+    if (id.valid()) server_->Reply(id, ReplyWith(status, body));
   }
 
   void Start(RequestId id, const Json& body) {
@@ -381,18 +522,31 @@
     }
     Counts& counts = world_->counts_;
     ++counts.starts_;
-    if (world_->running_[task] > 0) ++counts.twice_;
+    auto record = std::make_shared<RunRecord>();
+    record->task_ = task;
+    record->number_ = number;
+    record->worker_ = id_;
+    record->instance_ = store_->WriterOf(fence_);
+    record->began_ = world_->clock_.Now();
+    std::vector<RunPointer>& others = world_->running_[task];
+    if (!others.empty()) ++counts.twice_;
+    for (const RunPointer& other : others) {
+      world_->overlaps_.emplace_back(other, record);
+    }
+    // Two runs of a task at one worker: the count tells; one is kept.
+    if (runs_.count(task) > 0) End(task, "replaced");
     if (world_->done_[task] > 0) ++counts.after_done_;
     const auto used = static_cast<int32_t>(runs_.size()) * kTaskCpu;
     if (used + kTaskCpu > cpu_milli_) ++counts.overbooked_;
     Renew(body);
     const int64_t ms = std::stoll(body.at("spec").get<std::string>());
     const Time now = world_->clock_.Now();
-    runs_[task] = {number, now + Duration{ms}, now};
-    ++world_->running_[task];
-    After(world_->base_, ms, [this, task, number] {
+    runs_[task] = {record, number, now + Duration{ms}, now};
+    world_->running_[task].push_back(record);
+    world_->runs_.push_back(record);
+    After(world_->base_, ms, [this, task, record] {
       const auto run = runs_.find(task);
-      if (run != runs_.end() && run->second.number_ == number &&
+      if (run != runs_.end() && run->second.record_ == record &&
           !run->second.stopping_) {
         End(task, "done");
       }
@@ -408,9 +562,13 @@
     const auto run = runs_.find(task);
     if (run != runs_.end() && run->second.number_ == number) {
       run->second.stopping_ = true;
-      After(world_->base_, kStopMs, [this, task, number] {
+      const RunPointer record = run->second.record_;
+      if (record->stop_received_ == Time{}) {
+        record->stop_received_ = world_->clock_.Now();
+      }
+      After(world_->base_, kStopMs, [this, task, record] {
         const auto stopped = runs_.find(task);
-        if (stopped != runs_.end() && stopped->second.number_ == number) {
+        if (stopped != runs_.end() && stopped->second.record_ == record) {
           End(task, "stopped");
         }
       });
@@ -423,7 +581,10 @@
     ended_[task] = std::max(ended_[task], run->second.number_);
     ++last_end_;
     finished_[last_end_] = {last_end_, task, run->second.number_, how, ""};
-    --world_->running_[task];
+    const RunPointer record = run->second.record_;
+    record->ended_ = world_->clock_.Now();
+    record->how_ = how;
+    std::erase(world_->running_[task], record);
     if (how == "done") {
       ++world_->done_[task];
       ++world_->counts_.done_;
@@ -472,8 +633,13 @@
   }
 
   World* world_;
+  Store* store_;
+  int index_;
   std::string id_;
   int32_t cpu_milli_;
+  double clock_rate_;
+  int64_t born_ = 1790000000000;
+  Time life_began_;
   uint64_t fence_ = 0;
   int64_t lease_ = 0;
   uint64_t last_end_ = 0;
@@ -481,7 +647,7 @@
   std::map<std::string, int> ended_;  ///< Highest run that is over, by task.
   std::map<uint64_t, Json> finished_;
   RequestId waiting_;
-  HttpServer server_;
+  std::unique_ptr<HttpServer> server_;
 };
 
 Json Report(const Counts& counts) {
@@ -491,6 +657,33 @@
           {"after_done", counts.after_done_}};
 }
 
+Json ReportRuns(const World& world) {
+  Json report = Report(world.counts_);
+  report["runs"] = Json::array();
+  report["overlaps"] = Json::array();
+  for (const RunPointer& run : world.runs_) {
+    report["runs"].push_back(ToJson(*run));
+  }
+  for (const auto& [first, second] : world.overlaps_) {
+    report["overlaps"].push_back({ToJson(*first), ToJson(*second)});
+  }
+  return report;
+}
+
+Faults ParseFaults(std::map<std::string, std::string> query) {
+  Faults faults;
+  faults.store_down_ = query.count("store_down") > 0;
+  faults.store_silent_ = query.count("store_silent") > 0;
+  faults.silent_share_ = std::atof(query["silent"].c_str());
+  faults.silent_stops_ = std::atof(query["silent_stops"].c_str());
+  faults.silent_polls_ = std::atof(query["silent_polls"].c_str());
+  faults.late_ms_ = std::atoll(query["late_ms"].c_str());
+  if (query.count("worker") > 0) {
+    faults.worker_ = std::atoi(query["worker"].c_str());
+  }
+  return faults;
+}
+
 Json Configuration() {
   const Json queue = {
       {"name", "r-1"},        {"host", "desk.example"}, {"prefix", "/case/"},
@@ -508,28 +701,39 @@
   po::options_description all("Stand-in for the users' platform");
   all.add_options()("help", "show this text")(
       "workers", po::value(&options.workers_), "number of workers")(
-      "cpu", po::value(&options.cpu_milli_), "room of each, in 1/1000 cores");
+      "cpu", po::value(&options.cpu_milli_), "room of each, in 1/1000 cores")(
+      "views", po::value(&options.views_), "ports of the store")(
+      "slow-clocks", po::bool_switch(&options.slow_clocks_),
+      "let the clock of each second worker run 2 % slow");
   if (!ParseCommandLine(argc, argv, all)) return 2;
   signal(SIGPIPE, SIG_IGN);
   World world;
   world.base_ = event_base_new();
   Store store(&world);
-  const Address address = store.Start();
+  const std::vector<std::string> views = store.Start(options.views_);
   store.Put("op/config", Configuration().dump());
   std::list<HostedWorker> workers;
+  Json addresses = Json::array();
   for (uint32_t i = 0; i < options.workers_; ++i) {
-    workers.emplace_back(&world, "i-" + std::to_string(i), options.cpu_milli_)
-        .Start(&store);
+    workers.emplace_back(&world, &store, static_cast<int>(i), options).Start();
+    addresses.push_back(workers.back().address());
   }
   HttpServer* control = nullptr;
   HttpServerEvents events;
   events.request_ = [&](RequestId id, const CallerRequest& read) {
-    if (read.method_ == "PUT") {
-      auto query = ParseQuery(read.path_);
-      world.faults_.store_down_ = query.count("store_down") > 0;
-      world.faults_.store_silent_ = query.count("store_silent") > 0;
-      world.faults_.silent_share_ = std::atof(query["silent"].c_str());
-      world.faults_.late_ms_ = std::atoll(query["late_ms"].c_str());
+    auto query = ParseQuery(read.path_);
+    const std::string path = read.path_.substr(0, read.path_.find('?'));
+    if (path == "/standin/runs") {
+      return control->Reply(id, ReplyWith(200, ReportRuns(world)));
+    }
+    if (path == "/standin/restart") {
+      std::next(workers.begin(), std::stoi(query.at("worker")))
+          ->Restart(std::atoll(query["entry_ms"].c_str()));
+    } else if (path == "/standin/address") {
+      store.ShowAddress(std::stoul(query.at("view")), query.at("from"),
+                        query.at("to"));
+    } else if (read.method_ == "PUT") {
+      world.faults_ = ParseFaults(std::move(query));
     }
     control->Reply(id, ReplyWith(200, Report(world.counts_)));
   };
@@ -539,7 +743,9 @@
   server.Listen({"127.0.0.1", 0});
   ExitOnEof(world.base_);
   std::cout << Json{{"event", "listening"},
-                    {"store", ToString(address)},
+                    {"store", views.front()},
+                    {"stores", views},
+                    {"workers", addresses},
                     {"control", ToString(server.address())}}
                    .dump()
             << std::endl;
