--- /dev/null
+++ b/tests/process/hosted_process.h
@@ -0,0 +1,96 @@
+#ifndef GENTIANDEAL_TESTS_PROCESS_HOSTED_PROCESS_H_
+#define GENTIANDEAL_TESTS_PROCESS_HOSTED_PROCESS_H_
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "harness.h"
+#include "socket_address.h"
+
+namespace gentiandeal::process {
+
+/// A port that the kernel chose, kept from being chosen again for another
+/// socket. Whoever listens with `SO_REUSEADDR`, as instances do, can use it.
+class ReservedPort {
+ public:
+  ReservedPort() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int on = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&any), sizeof(any)) ==
+                  0);
+    BOOST_REQUIRE(!LocalAddress(fd_, &address_));
+  }
+  ~ReservedPort() { close(fd_); }
+  ReservedPort(const ReservedPort&) = delete;
+  ReservedPort& operator=(const ReservedPort&) = delete;
+
+  const Address& address() const { return address_; }
+
+ private:
+  int fd_;
+  Address address_;
+};
+
+/// One instance on the stand-in of the users' platform.
+class HostedInstanceProcess {
+ public:
+  /// @param log_file Where the log goes; nobody reads it if this is empty.
+  HostedInstanceProcess(const Folder& folder, const std::string& name,
+                        const Address& store,
+                        const std::string& commands = "rpc",
+                        std::string log_level = "warn",
+                        std::string log_file = "")
+      : file_(folder.Write(name + ".json", Settings(name, store, commands))),
+        log_file_(std::move(log_file)) {
+    Restart(log_level);
+  }
+
+  void Restart(const std::string& log_level = "warn") {
+    process_ = std::make_unique<Process>(
+        "gentiandeal",
+        std::vector<std::string>{"hosted", "--settings", file_, "--log-level",
+                                 log_level},
+        log_file_);
+  }
+
+  bool Ready() const {
+    return Fetch(ready_.address(), {"GET", "/-/readyz", {}, ""}, Duration{500})
+               .status_ == 200;
+  }
+  const Address& callers() const { return callers_.address(); }
+  const Address& links() const { return links_.address(); }
+  Process& process() { return *process_; }
+
+ private:
+  std::string Settings(const std::string& name, const Address& store,
+                       const std::string& commands) const {
+    const uint16_t port = links().port_;
+    nlohmann::json json;
+    json["node_name"] = name;
+    json["zone"] = "rennes";
+    json["ip"] = "127.0.0.1";
+    json["listen"] = {{"frontend", ToString(callers())},
+                      {"ready", ToString(ready_.address())}};
+    json["port_range"] = {port, port};
+    json["commands"] = commands;
+    json["platform"] = {{"addr", ToString(store)}};
+    return json.dump();
+  }
+
+  ReservedPort callers_;
+  ReservedPort ready_;
+  ReservedPort links_;
+  std::string file_;
+  std::string log_file_;
+  std::unique_ptr<Process> process_;
+};
+
+}  // namespace gentiandeal::process
+
+#endif  // GENTIANDEAL_TESTS_PROCESS_HOSTED_PROCESS_H_
