Soak real instances with seeded faults from outside

Every path has a relay of its own; faults of paths, processes, workers and the store are drawn from one seed and overlap. Stand-in workers and callers are the only judges.

--- /dev/null
+++ b/tests/soak/hosted_soak.cc
@@ -0,0 +1,626 @@
+#define BOOST_TEST_NO_MAIN
+#include <boost/program_options.hpp>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <ctime>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "fault_plan.h"
+#include "process/hosted_process.h"
+
+/// Runs instances, workers and callers as processes, injects seeded faults
+/// from outside, and judges by what the stand-in workers and the callers saw.
+namespace gentiandeal::soak {
+namespace {
+
+using Json = nlohmann::json;
+using process::Caller;
+using process::Folder;
+using process::HostedInstanceProcess;
+using process::kPatience;
+using process::Process;
+using process::Proxy;
+using process::WaitUntil;
+
+constexpr int64_t kDeadlineMs = 3000;
+constexpr Duration kCallerWaits{kDeadlineMs};
+constexpr Duration kResendAfter{1300};
+constexpr size_t kMaxAttempts = 4;
+constexpr Duration kStep{4};
+/// From the last planned job to the judgement.
+constexpr Duration kSettleLimit{12000};
+/// Time an instance serves between two faults of its process.
+constexpr Duration kProcessRest{2500};
+/// How long before a job the faults that are printed with it begin.
+constexpr Duration kFaultsBefore{4000};
+constexpr size_t kMaxLogLines = 60;
+constexpr size_t kMaxPrinted = 5;
+
+struct Options {
+  Extent extent_;
+  int seeds_ = 1;
+  std::string faults_ = "all";
+  std::string logs_ = "hosted_soak_logs";
+};
+
+/// One sending of a job.
+struct Attempt {
+  size_t index_ = 0;
+  int instance_ = 0;
+  Time sent_;
+  Time ended_;
+  int status_ = -1;  ///< 0: the connection was lost; -1: none yet.
+};
+
+struct Job {
+  std::string id_;
+  HttpRequest request_;
+  std::vector<Attempt> attempts_;
+  std::optional<Time> send_again_at_;
+};
+
+std::string InstanceName(int index) { return {static_cast<char>('a' + index)}; }
+
+/// One seed's processes, callers and judgement.
+class Soak {
+ public:
+  Soak(const Extent& extent, const std::vector<std::string>& kinds,
+       std::string logs)
+      : extent_(extent),
+        plan_(DrawPlan(extent, kinds)),
+        logs_(std::move(logs)),
+        draw_(extent.seed_ * 31 + 7),
+        platform_("standin_hosted",
+                  {"--workers", std::to_string(extent.workers_), "--views",
+                   std::to_string(extent.instances_), "--slow-clocks"}) {
+    std::filesystem::remove_all(logs_);
+    std::filesystem::create_directories(logs_);
+  }
+
+  void Run() {
+    StartInstances();
+    begin_ = clock_.Now();
+    for (const Fault& fault : plan_.faults_) {
+      Later(begin_ + fault.at_, [this, &fault] { Apply(fault); });
+    }
+    for (const PlannedJob& job : plan_.jobs_) {
+      Later(begin_ + job.at_, [this, &job] { SendNew(job); });
+    }
+    const Time end = begin_ + extent_.length_;
+    while (clock_.Now() < end || !Settled()) {
+      if (clock_.Now() > end + kSettleLimit) break;
+      caller_.RunUntil([] { return false; }, kStep);
+      RunTimers();
+      for (auto& [id, job] : jobs_) Advance(&job);
+    }
+    BOOST_TEST(Judge() == 0, "seed " << extent_.seed_ << " breaks a rule");
+  }
+
+ private:
+  struct Instance {
+    size_t store_path_ = 0;
+    size_t caller_path_ = 0;
+    Address callers_;
+    std::map<int, size_t> peer_paths_;  ///< To other instances.
+    std::vector<size_t> worker_paths_;
+    std::unique_ptr<HostedInstanceProcess> process_;
+    bool busy_ = false;  ///< With a fault of its process.
+    Time rests_until_;
+  };
+
+  // Nothing is read from the store before it shows the relays' addresses, so
+  // that no path goes past its relay.
+  void StartInstances() {
+    Control("faults?store_down=1");
+    const std::vector<Address> stores = platform_.AllAt("stores");
+    instances_.resize(static_cast<size_t>(extent_.instances_));
+    for (int i = 0; i < extent_.instances_; ++i) {
+      Instance& one = At(i);
+      Address store;
+      one.store_path_ = proxy_.Add(stores[static_cast<size_t>(i)], &store);
+      const std::string name = InstanceName(i);
+      one.process_ = std::make_unique<HostedInstanceProcess>(
+          folder_, name, store, "rpc", "info", LogFile(i));
+      one.caller_path_ = proxy_.Add(one.process_->callers(), &one.callers_);
+    }
+    for (int i = 0; i < extent_.instances_; ++i) {
+      for (const Address& worker : platform_.AllAt("workers")) {
+        At(i).worker_paths_.push_back(Relay(i, worker));
+      }
+      for (int j = 0; j < extent_.instances_; ++j) {
+        if (j == i) continue;
+        At(i).peer_paths_[j] = Relay(i, At(j).process_->links());
+      }
+    }
+    Control("faults");
+    for (Instance& one : instances_) {
+      BOOST_REQUIRE(WaitUntil([&] { return one.process_->Ready(); }));
+      BOOST_REQUIRE(WaitUntil([&] { return Serves(one); }));
+    }
+  }
+
+  /// Relays an address that one instance reads in the store.
+  size_t Relay(int instance, const Address& to) {
+    Address shown;
+    const size_t path = proxy_.Add(to, &shown);
+    Control("address?view=" + std::to_string(instance) +
+            "&from=" + ToString(to) + "&to=" + ToString(shown));
+    return path;
+  }
+
+  bool Serves(const Instance& instance) {
+    const HttpRequest request = MakeRequest(NextId(), 1, 5);
+    return Fetch(instance.callers_, request, Duration{2000}).status_ == 200;
+  }
+
+  Instance& At(int index) { return instances_[static_cast<size_t>(index)]; }
+
+  std::string LogFile(int instance) const {
+    return logs_ + "/" + InstanceName(instance) + ".log";
+  }
+
+  Json Control(const std::string& what, const std::string& method = "PUT") {
+    const HttpResponse answer =
+        Fetch(platform_.At("control"), {method, "/standin/" + what, {}, ""},
+              kPatience);
+    BOOST_REQUIRE_EQUAL(answer.status_, 200);
+    return Json::parse(answer.body_);
+  }
+
+  // Timers.
+
+  void Later(Time when, std::function<void()> call) {
+    timers_.emplace(when, std::move(call));
+  }
+
+  void RunTimers() {
+    while (!timers_.empty() && timers_.begin()->first <= clock_.Now()) {
+      const auto call = std::move(timers_.begin()->second);
+      timers_.erase(timers_.begin());
+      call();
+    }
+  }
+
+  // Callers.
+
+  std::string NextId() {
+    char id[17];
+    std::snprintf(id, sizeof(id), "%08llx%08llx",
+                  static_cast<unsigned long long>(extent_.seed_),
+                  static_cast<unsigned long long>(++last_job_));
+    return id;
+  }
+
+  static HttpRequest MakeRequest(const std::string& id, int tasks, int64_t ms) {
+    constexpr int kTaskCpuMilli = 14000;
+    constexpr int kTaskMemoryMb = 64;
+    const Json step = {{"count", tasks},
+                       {"cpu", kTaskCpuMilli},
+                       {"mem_mb", kTaskMemoryMb},
+                       {"est_ms", ms}};
+    Json body;
+    body["spec"] = std::to_string(ms);
+    body["best_effort"] = true;
+    body["phases"] = Json::array({step});
+    return {"POST",
+            "/case/" + id,
+            {{"Host", "desk.example"},
+             {"Deadline-Ms", std::to_string(kDeadlineMs)}},
+            body.dump()};
+  }
+
+  void SendNew(const PlannedJob& planned) {
+    const std::string id = NextId();
+    Job& job = jobs_[id];
+    job.id_ = id;
+    job.request_ = MakeRequest(id, planned.tasks_, planned.run_ms_);
+    Send(&job, planned.instance_);
+  }
+
+  void Send(Job* job, int instance) {
+    Attempt attempt;
+    attempt.instance_ = instance;
+    attempt.sent_ = clock_.Now();
+    attempt.index_ =
+        caller_.Send(At(instance).callers_, job->request_, kCallerWaits);
+    job->attempts_.push_back(attempt);
+    job->send_again_at_.reset();
+  }
+
+  void Advance(Job* job) {
+    const Time now = clock_.Now();
+    if (job->send_again_at_ && now >= *job->send_again_at_) {
+      return Send(job,
+                  static_cast<int>(draw_.Between(0, extent_.instances_ - 1)));
+    }
+    Attempt& last = job->attempts_.back();
+    if (last.status_ >= 0 || !caller_.Answered(last.index_)) return;
+    last.status_ = caller_.Answer(last.index_).status_;
+    last.ended_ = now;
+    const bool lost =
+        last.status_ == 0 || last.status_ == 502 || last.status_ == 504;
+    if (lost && job->attempts_.size() < kMaxAttempts) {
+      job->send_again_at_ = now + kResendAfter;
+    }
+  }
+
+  bool Settled() const {
+    if (!timers_.empty()) return false;
+    return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
+      const Job& job = entry.second;
+      return job.attempts_.back().status_ >= 0 && !job.send_again_at_;
+    });
+  }
+
+  // Faults.
+
+  void Note(const std::string& text) { done_.emplace_back(clock_.Now(), text); }
+
+  void Apply(const Fault& fault) {
+    const size_t dash = fault.kind_.find('-');
+    const std::string path = fault.kind_.substr(0, dash);
+    const std::string what =
+        dash == std::string::npos ? "" : fault.kind_.substr(dash + 1);
+    Instance& one = At(fault.instance_);
+    std::vector<size_t> pairs;
+    std::string to;
+    if (path == "caller") {
+      pairs = {one.caller_path_};
+      to = "callers";
+    } else if (path == "peer" && !one.peer_paths_.empty()) {
+      pairs = {one.peer_paths_.at(fault.other_)};
+      to = InstanceName(fault.other_);
+      if (fault.wide_) {
+        pairs.clear();
+        for (const auto& [other, pair] : one.peer_paths_) {
+          pairs.push_back(pair);
+        }
+        to = "all";
+      }
+    } else if (path == "worker") {
+      pairs = {one.worker_paths_[static_cast<size_t>(fault.worker_)]};
+      to = "i-" + std::to_string(fault.worker_);
+      if (fault.wide_) {
+        pairs = one.worker_paths_;
+        to = "all";
+      }
+    } else if (path == "store" && fault.kind_ != "store-down" &&
+               fault.kind_ != "store-mute" && fault.kind_ != "store-stale") {
+      pairs = {one.store_path_};
+      to = "store";
+    }
+    if (pairs.empty()) return ApplyToPrograms(fault);
+    const std::string disturbance = Disturbance(fault, what);
+    for (const size_t pair : pairs) proxy_.Disturb(pair, disturbance);
+    Note(fault.kind_ + " " + InstanceName(fault.instance_) + "-" + to + " " +
+         disturbance);
+  }
+
+  static std::string Disturbance(const Fault& fault, const std::string& what) {
+    const std::string way = "&way=" + fault.way_;
+    const std::string close = fault.close_ ? "&close=1" : "";
+    if (what == "hold") {
+      return "what=hold&ms=" + std::to_string(fault.hold_ms_) +
+             (fault.wide_ ? "" : way);
+    }
+    if (what == "delay") {
+      return "what=delay&ms=" + std::to_string(fault.short_ms_) +
+             "&for_ms=" + std::to_string(fault.long_ms_) + way;
+    }
+    if (what == "cut") return "what=silence" + way;
+    if (what == "drop-near") return "what=drop_caller" + close;
+    if (what == "drop-far") return "what=drop_target" + close;
+    return "what=" + what;
+  }
+
+  void ApplyToPrograms(const Fault& fault) {
+    if (fault.kind_ == "stop-short") {
+      return Stop(fault, fault.short_ms_, fault.repeats_);
+    }
+    if (fault.kind_ == "stop-long") return Stop(fault, fault.long_ms_, 1);
+    if (fault.kind_ == "kill" || fault.kind_ == "term") return EndOne(fault);
+    const std::string worker = "worker=" + std::to_string(fault.worker_);
+    if (fault.kind_ == "restart-worker") {
+      const int64_t entry_ms = fault.wide_ ? fault.short_ms_ : 0;
+      return ChangePlatform(
+          fault, "restart?" + worker + "&entry_ms=" + std::to_string(entry_ms));
+    }
+    if (fault.kind_ == "store-stale") {
+      ChangePlatform(fault, "restart?" + worker +
+                                "&entry_ms=" + std::to_string(fault.long_ms_));
+      return SetPlatformFault(fault, "store_down=1", fault.hold_ms_);
+    }
+    const char* share = fault.wide_ ? "=0.3" : "=1&";
+    const std::string late = (fault.wide_ ? std::string() : worker) +
+                             "&late_ms=" + std::to_string(fault.hold_ms_);
+    std::string faults;
+    if (fault.kind_ == "late-starts") faults = "silent" + (share + late);
+    if (fault.kind_ == "late-stops") faults = "silent_stops" + (share + late);
+    if (fault.kind_ == "late-polls") faults = "silent_polls" + (share + late);
+    if (fault.kind_ == "store-down") faults = "store_down=1";
+    if (fault.kind_ == "store-mute") faults = "store_silent=1";
+    SetPlatformFault(fault, faults, fault.long_ms_);
+  }
+
+  void ChangePlatform(const Fault& fault, const std::string& change) {
+    Control(change);
+    Note(fault.kind_ + " " + change);
+  }
+
+  /// Faults of the platform overlap; each ends after its own time.
+  void SetPlatformFault(const Fault& fault, const std::string& query,
+                        int64_t ms) {
+    const auto entry = platform_faults_.insert(platform_faults_.end(), query);
+    SendPlatformFaults();
+    Note(fault.kind_ + " " + query + " for " + std::to_string(ms) + " ms");
+    Later(clock_.Now() + Duration{ms}, [this, entry] {
+      platform_faults_.erase(entry);
+      SendPlatformFaults();
+    });
+  }
+
+  void SendPlatformFaults() {
+    std::string query;
+    for (const std::string& one : platform_faults_) query += one + "&";
+    Control("faults?" + query);
+  }
+
+  bool TakeProcess(const Fault& fault) {
+    Instance& one = At(fault.instance_);
+    if (one.busy_ || clock_.Now() < one.rests_until_) return false;
+    one.busy_ = true;
+    return true;
+  }
+
+  void ReturnProcess(int instance) {
+    At(instance).busy_ = false;
+    At(instance).rests_until_ = clock_.Now() + kProcessRest;
+  }
+
+  void Stop(const Fault& fault, int64_t ms, int64_t times) {
+    if (!TakeProcess(fault)) return;
+    Time at = clock_.Now();
+    const int instance = fault.instance_;
+    for (int64_t i = 0; i < times; ++i) {
+      Later(at, [this, instance, ms] {
+        At(instance).process_->process().Signal(SIGSTOP);
+        Note("stop " + InstanceName(instance) + " " + std::to_string(ms) +
+             " ms");
+      });
+      at = at + Duration{ms};
+      Later(at, [this, instance] {
+        At(instance).process_->process().Signal(SIGCONT);
+        Note("continue " + InstanceName(instance));
+      });
+      at = at + Duration{draw_.Between(20, 300)};
+    }
+    Later(at, [this, instance] { ReturnProcess(instance); });
+  }
+
+  void EndOne(const Fault& fault) {
+    if (!TakeProcess(fault)) return;
+    const int instance = fault.instance_;
+    At(instance).process_->process().Signal(fault.kind_ == "kill" ? SIGKILL
+                                                                  : SIGTERM);
+    Note(fault.kind_ + " " + InstanceName(instance));
+    AwaitEnd(instance, Duration{fault.wide_ ? 0 : fault.hold_ms_});
+  }
+
+  void AwaitEnd(int instance, Duration down) {
+    constexpr Duration kLook{5};
+    Later(clock_.Now() + kLook, [this, instance, down] {
+      Process& ending = At(instance).process_->process();
+      if (ending.WaitExit(Duration{0}) < 0) return AwaitEnd(instance, down);
+      Later(clock_.Now() + down, [this, instance] {
+        At(instance).process_->Restart("info");
+        Note("start " + InstanceName(instance));
+        ReturnProcess(instance);
+      });
+    });
+  }
+
+  // Judgement.
+
+  /// @returns the number of broken rules.
+  size_t Judge() {
+    const Json report = Control("runs", "GET");
+    std::map<std::string, std::vector<Json>> runs;
+    for (const Json& run : report["runs"]) runs[JobOf(run)].push_back(run);
+    size_t answered = 0;
+    size_t again = 0;
+    size_t refused = 0;
+    std::set<std::string> failed;
+    for (const auto& [id, job] : jobs_) {
+      answered += job.attempts_.back().status_ == 200 ? 1 : 0;
+      again += job.attempts_.size() > 1 ? 1 : 0;
+      if (!RanThoughRefused(job, runs[id])) continue;
+      ++refused;
+      std::cout << "refused, but a task started: job " << id << "\n";
+      failed.insert(id);
+    }
+    const Json& overlaps = report["overlaps"];
+    for (const Json& pair : overlaps) {
+      std::cout << "two runs at once: " << pair[0]["task"].get<std::string>()
+                << Text(pair[0]) << "\n  while" << Text(pair[1]) << "\n";
+      failed.insert(JobOf(pair[0]));
+    }
+    const auto overbooked = report["overbooked"].get<size_t>();
+    std::cout << "seed " << extent_.seed_ << ": " << jobs_.size() << " jobs, "
+              << answered << " answered 200, " << again << " sent again, "
+              << report["starts"] << " runs, " << done_.size()
+              << " fault steps; two runs at once " << overlaps.size()
+              << ", overbooked " << overbooked << ", refused but ran "
+              << refused << std::endl;
+    size_t printed = 0;
+    for (const std::string& id : failed) {
+      if (++printed <= kMaxPrinted) PrintJob(id, runs[id]);
+    }
+    const size_t broken = overlaps.size() + overbooked + refused;
+    if (broken == 0) {
+      std::filesystem::remove_all(logs_);
+    } else {
+      std::cout << "logs: " << logs_ << std::endl;
+    }
+    return broken;
+  }
+
+  static std::string JobOf(const Json& run) {
+    const auto task = run["task"].get<std::string>();
+    return task.substr(0, task.find('.'));
+  }
+
+  /// A refusal says that nothing of the attempt runs. Runs that a lost attempt
+  /// before it started aren't held against it.
+  static bool RanThoughRefused(const Job& job, const std::vector<Json>& runs) {
+    const Attempt& last = job.attempts_.back();
+    if (last.status_ != 429 && last.status_ != 503) return false;
+    return std::any_of(runs.begin(), runs.end(), [&](const Json& run) {
+      return Time{run["began"].get<int64_t>()} >= last.sent_;
+    });
+  }
+
+  /// Wall-clock time, as in the instances' logs.
+  std::string Clock(Time time) const {
+    if (time == Time{}) return "-";
+    timespec wall{};
+    clock_gettime(CLOCK_REALTIME, &wall);
+    const int64_t ms =
+        wall.tv_sec * 1000 + wall.tv_nsec / 1000000 - (clock_.Now() - time).ms_;
+    const time_t seconds = ms / 1000;
+    tm parts{};
+    localtime_r(&seconds, &parts);
+    char text[32];
+    const size_t size = strftime(text, sizeof(text), "%H:%M:%S", &parts);
+    std::snprintf(text + size, sizeof(text) - size, ".%03d",
+                  static_cast<int>(ms % 1000));
+    return text;
+  }
+
+  std::string Text(const Json& run) const {
+    const auto time = [&](const char* key) {
+      return Clock(Time{run[key].get<int64_t>()});
+    };
+    const std::string how = run["how"].get<std::string>();
+    return " run " + run["run"].dump() + " on " +
+           run["worker"].get<std::string>() + " from " +
+           run["instance"].get<std::string>() + ", start " + time("began") +
+           ", stop " + time("stop") + ", end " + time("ended") + " " +
+           (how.empty() ? "in progress" : how);
+  }
+
+  void PrintJob(const std::string& id, const std::vector<Json>& runs) const {
+    std::cout << "job " << id << "\n";
+    const auto found = jobs_.find(id);
+    Time from = begin_;
+    if (found != jobs_.end()) {
+      from = found->second.attempts_.front().sent_;
+      for (const Attempt& attempt : found->second.attempts_) {
+        std::cout << "  sent to " << InstanceName(attempt.instance_) << " "
+                  << Clock(attempt.sent_) << ", " << attempt.status_ << " at "
+                  << Clock(attempt.ended_) << "\n";
+      }
+    }
+    for (const Json& run : runs) {
+      std::cout << "  " << run["task"].get<std::string>() << Text(run) << "\n";
+    }
+    Time until = from;
+    for (const Json& run : runs) {
+      until = std::max(until, Time{run["began"].get<int64_t>()});
+    }
+    for (const auto& [time, text] : done_) {
+      if (time < from - kFaultsBefore || time > until) continue;
+      std::cout << "  fault " << Clock(time) << " " << text << "\n";
+    }
+    size_t lines = 0;
+    for (int i = 0; i < extent_.instances_; ++i) {
+      std::ifstream log(LogFile(i));
+      for (std::string line; std::getline(log, line);) {
+        if (line.find(id) == std::string::npos) continue;
+        if (++lines > kMaxLogLines) return;
+        std::cout << "  " << InstanceName(i) << ": " << line << "\n";
+      }
+    }
+    std::cout << std::flush;
+  }
+
+  Extent extent_;
+  Plan plan_;
+  std::string logs_;
+  Draw draw_;
+  MonotonicClock clock_;
+  Folder folder_;
+  Process platform_;
+  Proxy proxy_;
+  std::vector<Instance> instances_;
+  Caller caller_;
+  Time begin_;
+  uint64_t last_job_ = 0;
+  std::map<std::string, Job> jobs_;
+  std::multimap<Time, std::function<void()>> timers_;
+  std::vector<std::pair<Time, std::string>> done_;
+  std::list<std::string> platform_faults_;
+};
+
+Options options;
+
+bool RegisterSeeds() {
+  const std::vector<std::string> kinds = FaultKinds(options.faults_);
+  for (int i = 0; i < options.seeds_; ++i) {
+    Extent extent = options.extent_;
+    extent.seed_ += static_cast<uint64_t>(i);
+    const std::string name = "seed_" + std::to_string(extent.seed_);
+    const auto run = [extent, kinds, logs = options.logs_ + "/" + name] {
+      Soak(extent, kinds, logs).Run();
+    };
+    boost::unit_test::framework::master_test_suite().add(
+        boost::unit_test::make_test_case(run, name, __FILE__, __LINE__));
+  }
+  return true;
+}
+
+int Main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  po::options_description all("Random soak of instances with faults");
+  Extent& extent = options.extent_;
+  int64_t seconds = extent.length_.ms_ / 1000;
+  auto add = all.add_options();
+  add("help", "show this text");
+  add("seed", po::value(&extent.seed_), "first seed");
+  add("seeds", po::value(&options.seeds_), "number of seeds, one by one");
+  add("seconds", po::value(&seconds), "length of each");
+  add("instances", po::value(&extent.instances_), "at most 26");
+  add("workers", po::value(&extent.workers_), "in all");
+  add("gap-ms", po::value(&extent.fault_gap_.ms_), "mean gap between faults");
+  add("faults", po::value(&options.faults_),
+      "kinds or beginnings of their names, separated by commas");
+  add("logs", po::value(&options.logs_), "folder for failing seeds' logs");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, all), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+  if (values.count("help") > 0 || FaultKinds(options.faults_).empty()) {
+    std::cout << all << "kinds:";
+    for (const std::string& kind : AllFaultKinds()) std::cout << " " << kind;
+    std::cout << std::endl;
+    return values.count("help") > 0 ? 0 : 2;
+  }
+  extent.length_ = Duration{seconds * 1000};
+  char level[] = "--log_level=error";
+  char* words[] = {argv[0], level};
+  return boost::unit_test::unit_test_main(&RegisterSeeds, 2, words);
+}
+
+}  // namespace
+}  // namespace gentiandeal::soak
+
+int main(int argc, char** argv) { return gentiandeal::soak::Main(argc, argv); }
