Soak: lose a machine, and draw overlapping faults of an instance

A lost machine tells its callers, while its peers only hear nothing; what it sent last may arrive late. Half of the faults hit the instance of the one before.

--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -1,11 +1,17 @@
 #include "fault_plan.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace gentiandeal::soak {
 namespace {
 
 constexpr int kWidePercent = 40;
+/// Of the faults that hit the same instance as the one before, so that faults
+/// of an instance and of its paths overlap.
+constexpr int kSameInstancePercent = 50;
+/// Faults of processes are drawn so much more often than the many of paths.
+constexpr int kProcessWeight = 3;
 /// Jobs per second for each worker, which has room for two tasks at a time:
 /// the workers are half busy.
 constexpr double kJobsPerWorker = 0.7;
@@ -18,16 +24,22 @@
   const int64_t part = draw->Between(1, 100);
   if (part <= 25) return draw->Between(40, 150);
   if (part <= 65) return draw->Between(150, 800);
-  return draw->Between(800, 1900);
+  return draw->Between(800, 2600);
+}
+
+bool HitsProcess(const std::string& kind) {
+  return kind == "kill" || kind == "crash" || kind == "term" ||
+         kind.rfind("stop-", 0) == 0;
 }
 
 Fault DrawFault(Draw* draw, const Extent& extent,
-                const std::vector<std::string>& kinds) {
+                const std::vector<std::string>& kinds, int last_instance) {
   const auto last = [](auto size) { return static_cast<int64_t>(size) - 1; };
   Fault fault;
   fault.kind_ =
       kinds[static_cast<size_t>(draw->Between(0, last(kinds.size())))];
   fault.instance_ = static_cast<int>(draw->Between(0, extent.instances_ - 1));
+  if (draw->Chance(kSameInstancePercent)) fault.instance_ = last_instance;
   const auto step =
       static_cast<int>(draw->Between(1, std::max(1, extent.instances_ - 1)));
   fault.other_ = (fault.instance_ + step) % extent.instances_;
@@ -58,7 +70,7 @@
     }
   }
   for (const char* kind :
-       {"stop-short", "stop-long", "kill", "term", "restart-worker",
+       {"stop-short", "stop-long", "kill", "crash", "term", "restart-worker",
         "late-starts", "late-stops", "late-polls", "store-down", "store-mute",
         "store-stale"}) {
     kinds.emplace_back(kind);
@@ -79,12 +91,18 @@
   return named;
 }
 
-Plan DrawPlan(const Extent& extent, const std::vector<std::string>& kinds) {
+Plan DrawPlan(const Extent& extent, const std::vector<std::string>& named) {
   Plan plan;
+  std::vector<std::string> kinds;
+  for (const std::string& kind : named) {
+    kinds.insert(kinds.end(), HitsProcess(kind) ? kProcessWeight : 1, kind);
+  }
   Draw faults(extent.seed_);
   Duration at = kQuietStart;
   while (!kinds.empty() && at < extent.length_) {
-    plan.faults_.push_back(DrawFault(&faults, extent, kinds));
+    const int last_instance =
+        plan.faults_.empty() ? 0 : plan.faults_.back().instance_;
+    plan.faults_.push_back(DrawFault(&faults, extent, kinds, last_instance));
     plan.faults_.back().at_ = at;
     at.ms_ += faults.Between(1, 2 * extent.fault_gap_.ms_);
   }
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -1,7 +1,6 @@
 #ifndef GENTIANDEAL_TESTS_SOAK_FAULT_PLAN_H_
 #define GENTIANDEAL_TESTS_SOAK_FAULT_PLAN_H_
 
-#include <array>
 #include <cstdint>
 #include <random>
 #include <string>
--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -325,6 +325,7 @@
     }
     if (fault.kind_ == "stop-long") return Stop(fault, fault.long_ms_, 1);
     if (fault.kind_ == "kill" || fault.kind_ == "term") return EndOne(fault);
+    if (fault.kind_ == "crash") return Crash(fault);
     const std::string worker = "worker=" + std::to_string(fault.worker_);
     if (fault.kind_ == "restart-worker") {
       const int64_t entry_ms = fault.wide_ ? fault.short_ms_ : 0;
@@ -412,6 +413,50 @@
     AwaitEnd(instance, Duration{fault.wide_ ? 0 : fault.hold_ms_});
   }
 
+  /// A machine that is lost: its callers learn of it, its peers only by its
+  /// silence. If wide, what it sent last arrives late, and half of the time one
+  /// of the peers stands still shortly before it would notice.
+  void Crash(const Fault& fault) {
+    constexpr int64_t kExtraHoldMs = 250;
+    constexpr Duration kPeerStops{1100};
+    if (!TakeProcess(fault)) return;
+    const int instance = fault.instance_;
+    Time at = clock_.Now();
+    if (fault.wide_) {
+      const int64_t hold_ms = fault.short_ms_ + kExtraHoldMs;
+      for (const auto& [other, pair] : At(instance).peer_paths_) {
+        proxy_.Disturb(pair, "what=hold&way=up&ms=" + std::to_string(hold_ms));
+      }
+      Note("hold " + InstanceName(instance) + "-all " +
+           std::to_string(hold_ms) + " ms");
+      if (fault.close_) {
+        Fault stop = fault;
+        stop.instance_ = fault.other_;
+        Later(at + kPeerStops, [this, stop] { Stop(stop, stop.short_ms_, 1); });
+      }
+      at = at + Duration{draw_.Between(0, hold_ms / 2)};
+    }
+    const Duration down{fault.long_ms_};
+    Later(at, [this, instance, down] {
+      Silence(instance);
+      At(instance).process_->process().Signal(SIGKILL);
+      proxy_.Disturb(At(instance).caller_path_, "what=reset");
+      Note("crash " + InstanceName(instance));
+      AwaitEnd(instance, down);
+    });
+  }
+
+  /// Ends all open connections of an instance but its callers' without a sign.
+  void Silence(int instance) {
+    std::vector<size_t> pairs = At(instance).worker_paths_;
+    pairs.push_back(At(instance).store_path_);
+    for (const auto& [other, pair] : At(instance).peer_paths_) {
+      pairs.push_back(pair);
+      pairs.push_back(At(other).peer_paths_.at(instance));
+    }
+    for (const size_t pair : pairs) proxy_.Disturb(pair, "what=silence");
+  }
+
   void AwaitEnd(int instance, Duration down) {
     constexpr Duration kLook{5};
     Later(clock_.Now() + kLook, [this, instance, down] {
--- a/tests/standins/proxy.cc
+++ b/tests/standins/proxy.cc
@@ -25,8 +25,8 @@
 ///   `hold&ms=N`  what is sent in the next N ms, ends of connections included,
 ///       is delivered after them, in order; a reset is delivered as a close
 ///   `delay&ms=N&for_ms=T`  what is sent in the next T ms arrives N ms later
-///   `silence`  open connections pass nothing more, neither bytes nor ends; new
-///       ones work
+///   `silence`  open connections pass nothing that is sent from now on, neither
+///       bytes nor ends; new ones work
 ///   `reset`  resets open connections on both sides
 ///   `drop_caller`, `drop_target`  resets open connections on this side, while
 ///       the other side stays open and hears nothing; with `&close=1` it is
@@ -268,13 +268,15 @@
   for (Direction* direction : {&up_, &down_}) {
     if (direction == &up_ ? !up : !down) continue;
     direction->silent_ = true;
-    direction->delayed_.clear();
-    evtimer_del(direction->timer_);
   }
 }
 
 void Connection::DropSide(bool caller, bool reset) {
   Silence(/*up=*/true, /*down=*/true);
+  for (Direction* one : {&up_, &down_}) {
+    one->delayed_.clear();
+    evtimer_del(one->timer_);
+  }
   Direction* direction = caller ? &up_ : &down_;
   if (direction->gone_) return;
   direction->gone_ = true;
