--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -253,8 +253,8 @@
       scheduler_.On(session, withdraw, clock_.Now(), &scheduler_out_);
       ExecuteCommands();
     };
-    events.session_alive_ = [this](SessionId session) {
-      scheduler_.NoteSessionAlive(session, clock_.Now());
+    events.session_alive_ = [this](SessionId session, Time alive_at) {
+      scheduler_.NoteSessionAlive(session, alive_at);
     };
     events.session_started_ = [this](SessionId session,
                                      const InstanceName& coordinator) {
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -40,11 +40,10 @@
 }
 
 MeshLink::Link* MeshLink::Add(int fd, bool outgoing) {
-  auto link = std::make_unique<Link>();
+  auto link = std::make_unique<Link>(clock_.Now());
   Link* added = link.get();
   added->mesh_ = this;
   added->outgoing_ = outgoing;
-  added->last_received_ = added->last_sent_ = clock_.Now();
   added->socket_ = bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(added->socket_, &OnReadable, nullptr, &OnEvent, added);
   links_.emplace(added, std::move(link));
@@ -100,22 +99,33 @@
 }
 
 void MeshLink::Write(Link* link, const std::string& bytes) {
-  link->last_sent_ = clock_.Now();
   stats_.bytes_sent_ += bytes.size();
   bufferevent_write(link->socket_, bytes.data(), bytes.size());
 }
 
+void MeshLink::WriteHeartbeat(Link* link, Time now) {
+  Write(link, EncodeMesh(link->liveness_.MakeHeartbeat(now)));
+}
+
+void MeshLink::WriteFrame(Link* link, const std::string& bytes) {
+  const Time now = clock_.Now();
+  if (now - link->liveness_.sent_at() >= kMinHeartbeatInterval) {
+    WriteHeartbeat(link, now);
+  }
+  Write(link, bytes);
+}
+
 bool MeshLink::Send(const InstanceName& owner, const MeshFrame& frame) {
   const auto found = owners_.find(owner.value_);
   if (found == owners_.end() || !found->second->ready_) return false;
-  Write(found->second, EncodeMesh(frame));
+  WriteFrame(found->second, EncodeMesh(frame));
   return true;
 }
 
 void MeshLink::SendEnded(SessionId session, const TaskEnded& ended) {
   for (auto& [key, link] : links_) {
     if (link->outgoing_ || link->session_ != session) continue;
-    Write(link.get(), EncodeMesh(MeshTasksEnded{{ended}}));
+    WriteFrame(link.get(), EncodeMesh(MeshTasksEnded{{ended}}));
     return;
   }
 }
@@ -124,7 +134,7 @@
   load_ = load;
   const std::string bytes = EncodeMesh(load);
   for (auto& [key, link] : links_) {
-    if (!link->outgoing_ && link->ready_) Write(link.get(), bytes);
+    if (!link->outgoing_ && link->ready_) WriteFrame(link.get(), bytes);
   }
 }
 
@@ -134,7 +144,7 @@
   const std::unique_ptr<Link> owned = std::move(found->second);
   links_.erase(found);
   bufferevent_free(owned->socket_);
-  const Duration silence = clock_.Now() - owned->last_received_;
+  const Duration silence = clock_.Now() - owned->liveness_.alive_at();
   if (!owned->outgoing_) {
     if (owned->ready_) events_.session_ended_(owned->session_, silence);
     return;
@@ -168,8 +178,6 @@
 
 void MeshLink::Read(Link* link) {
   evbuffer* input = bufferevent_get_input(link->socket_);
-  link->last_received_ = clock_.Now();
-  if (!link->outgoing_ && link->ready_) events_.session_alive_(link->session_);
   while (evbuffer_get_length(input) >= kFrameLengthBytes) {
     char head[kFrameLengthBytes];
     evbuffer_copyout(input, head, kFrameLengthBytes);
@@ -198,7 +206,7 @@
       link->ready_ = true;
       events_.session_started_(link->session_, hello->name_);
       Write(link, EncodeMesh(self_));
-      Write(link, EncodeMesh(load_));
+      WriteFrame(link, EncodeMesh(load_));
       return true;
     }
     if (hello->incarnation_ != link->peer_.incarnation_) return false;
@@ -207,7 +215,13 @@
     return true;
   }
   if (!link->ready_) return false;
-  if (std::holds_alternative<MeshKeepalive>(frame)) return true;
+  if (const auto* heartbeat = std::get_if<MeshHeartbeat>(&frame)) {
+    const bool later = link->liveness_.On(*heartbeat, clock_.Now());
+    if (later && !link->outgoing_) {
+      events_.session_alive_(link->session_, link->liveness_.alive_at());
+    }
+    return true;
+  }
   if (link->outgoing_) {
     if (const auto* load = std::get_if<OwnerLoad>(&frame)) {
       events_.owner_load_(link->peer_.name_, link->hello_.data_centre_, *load);
@@ -241,11 +255,13 @@
   for (auto& [key, link] : links_) {
     const size_t unsent =
         evbuffer_get_length(bufferevent_get_output(link->socket_));
-    if (now - link->last_received_ > kSilenceTimeout ||
+    link->liveness_.EchoReceived();
+    if (now - link->liveness_.alive_at() > kSilenceTimeout ||
         unsent > kMaxUnsentBytes) {
       lost.push_back(link.get());
-    } else if (link->ready_ && now - link->last_sent_ >= kKeepaliveInterval) {
-      Write(link.get(), EncodeMesh(MeshKeepalive{}));
+    } else if (link->ready_ &&
+               now - link->liveness_.sent_at() >= kHeartbeatInterval) {
+      WriteHeartbeat(link.get(), now);
     }
   }
   for (Link* link : lost) Drop(link);
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "mesh_wire.h"
+#include "peer_liveness.h"
 #include "worker_ownership.h"
 
 struct bufferevent;
@@ -19,8 +20,8 @@
   std::function<void(const InstanceName& owner, const std::string& data_centre,
                      const OwnerLoad& load)>
       owner_load_;
-  /// The link to an owner was lost or closed. `silence` is the time since the
-  /// last byte was received.
+  /// The link to an owner was lost or closed. `silence` is the time since its
+  /// last sign of life.
   std::function<void(const InstanceName& owner, Duration silence)> owner_lost_;
   std::function<void(const InstanceName& owner, const TaskEnded& ended)>
       task_ended_;
@@ -28,8 +29,9 @@
   std::function<void(SessionId session, const CancelTasks& cancel)> cancel_;
   std::function<void(SessionId session, const InstanceName& coordinator)>
       session_started_;
-  /// Bytes were received from the peer of a session.
-  std::function<void(SessionId session)> session_alive_;
+  /// The peer of a session is known to have been alive at a time, on this
+  /// process's clock.
+  std::function<void(SessionId session, Time alive_at)> session_alive_;
   std::function<void(SessionId session, Duration silence)> session_ended_;
 };
 
@@ -45,17 +47,20 @@
 /// every other; over the connection that it opened it assigns tasks to the
 /// peer, which owns workers, and receives the ends of these tasks and the
 /// owner's load. For the side that accepted it, such a connection is a session.
-/// Either side treats the other as lost if it receives nothing for
-/// `kSilenceTimeout`.
+/// Either side treats the other as lost `kSilenceTimeout` after its last sign
+/// of life, as dated by `PeerLiveness`.
 class MeshLink {
  public:
-  /// Well below `kSilenceTimeout`, so that a late keepalive doesn't end the
-  /// connection.
-  static constexpr Duration kKeepaliveInterval{150};
-  /// Time without a received byte after which a connection is closed. Short
+  /// Interval of heartbeats. Two of them and the round trip separate a sign of
+  /// life from the moment at which it is known, and a new run needs a lease
+  /// that outlasts that.
+  static constexpr Duration kHeartbeatInterval{100};
+  /// Other frames carry a heartbeat along if the last one is older than this.
+  static constexpr Duration kMinHeartbeatInterval{50};
+  /// Time without a sign of life after which a connection is closed. Short
   /// enough that an owner has stopped the runs of a lost instance before that
   /// instance's callers submit their jobs again.
-  static constexpr Duration kSilenceTimeout{700};
+  static constexpr Duration kSilenceTimeout{800};
 
   MeshLink(event_base* base, MeshHello self, MeshEvents events);
   ~MeshLink();
@@ -77,8 +82,9 @@
   /// Sends the load of this instance to all that may assign tasks to it.
   void SendLoad(const OwnerLoad& load);
 
-  /// Opens missing connections, sends keepalives, and closes connections that
-  /// were silent for too long or have too much unsent.
+  /// Opens missing connections, sends heartbeats, and closes connections that
+  /// were silent for too long or have too much unsent. To be called from a
+  /// timer of a higher priority than the sockets' events.
   void Tick(Time now);
 
   /// Closes every connection. To be called after the process was paused, as the
@@ -89,6 +95,7 @@
 
  private:
   struct Link {
+    explicit Link(Time now) : liveness_(now) {}
     MeshLink* mesh_ = nullptr;
     bufferevent* socket_ = nullptr;
     bool outgoing_ = false;
@@ -96,8 +103,7 @@
     InstanceRecord peer_;  ///< If outgoing.
     MeshHello hello_;      ///< Of the peer.
     SessionId session_;    ///< If accepted.
-    Time last_received_;
-    Time last_sent_;
+    PeerLiveness liveness_;
   };
 
   static void OnAccept(evconnlistener* listener, int fd, sockaddr* from,
@@ -108,6 +114,9 @@
   void Connect(const InstanceRecord& peer, Time now);
   Link* Add(int fd, bool outgoing);
   void Write(Link* link, const std::string& bytes);
+  void WriteHeartbeat(Link* link, Time now);
+  /// Writes an encoded frame after a heartbeat, unless one was just written.
+  void WriteFrame(Link* link, const std::string& bytes);
   void Drop(Link* link);
   void DropMalformed(Link* link);
   void Read(Link* link);
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -91,12 +91,15 @@
 }
 
 template <typename Archive>
-void Serialize(Archive& /*archive*/, MeshKeepalive& /*ping*/) {}
+void Serialize(Archive& archive, MeshHeartbeat& heartbeat) {
+  archive.Value(heartbeat.sent_.ms_);
+  archive.Value(heartbeat.echo_.ms_);
+}
 
 namespace {
 
 /// First byte of every frame; has to change whenever the format does.
-constexpr uint8_t kMeshFormat = 0xe1;
+constexpr uint8_t kMeshFormat = 0xe2;
 
 }  // namespace
 
--- a/src/mesh_wire.h
+++ b/src/mesh_wire.h
@@ -19,11 +19,17 @@
   std::vector<TaskEnded> ended_;
 };
 
-/// Keepalive, sent when there is no other frame to send.
-struct MeshKeepalive {};
+/// Lets the receiver date the sender's last sign of life on its own clock, so
+/// that frames that were delayed don't make a lost sender look alive.
+struct MeshHeartbeat {
+  Time sent_;  ///< On the sender's clock, to be echoed.
+  /// `sent_` of a heartbeat that the sender had received from the receiver; the
+  /// sender was alive after that. Invalid before the first one.
+  Time echo_;
+};
 
 using MeshFrame = std::variant<MeshHello, AssignTasks, CancelTasks,
-                               MeshTasksEnded, OwnerLoad, MeshKeepalive>;
+                               MeshTasksEnded, OwnerLoad, MeshHeartbeat>;
 
 /// Encodes a frame, prefixed with its length: 4 bytes in network byte order.
 std::string EncodeMesh(const MeshFrame& frame);
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -132,9 +132,10 @@
 
 std::optional<Time> WorkerScheduler::SessionLeaseLimit(
     SessionId session) const {
-  const auto heard = last_heard_.find(session.value_);
-  if (heard == last_heard_.end()) return std::nullopt;
-  return ResubmissionLimit(heard->second);
+  if (session == kLocalSession) return std::nullopt;
+  const auto alive = last_alive_.find(session.value_);
+  if (alive == last_alive_.end()) return Time{};
+  return ResubmissionLimit(alive->second);
 }
 
 Time WorkerScheduler::ResubmissionLimit(Time lost_at) const {
@@ -171,13 +172,15 @@
                     *until - now >= limits_.renew_below_);
 }
 
-// `clock_ms_` is older than `clock_read_` by the transit time of the answer, so
-// the worker's clock is ahead of this estimate: a lease may end early but never
-// late.
+// `clock_ms_` is older than `clock_read_` by the transit time of the answer,
+// and the worker's clock may be slow since, so that it is ahead of this
+// estimate: a lease may end early but never late.
 int64_t WorkerScheduler::RenewLease(Worker* worker, Time now) const {
   const Duration lease = LeaseFor(*worker, now);
   worker->lease_until_ = std::max(worker->lease_until_, now + lease);
-  return worker->clock_ms_ + (now - worker->clock_read_).ms_ + lease.ms_;
+  const double elapsed =
+      kMinClockRate * static_cast<double>((now - worker->clock_read_).ms_);
+  return worker->clock_ms_ + static_cast<int64_t>(elapsed) + lease.ms_;
 }
 
 bool WorkerScheduler::HasInheritedRun(const Worker& worker) {
@@ -297,7 +300,6 @@
 
 void WorkerScheduler::On(SessionId session, const AssignTasks& assign, Time now,
                          SchedulerOutbox* out) {
-  if (session != kLocalSession) NoteSessionAlive(session, now);
   const auto batch = std::make_shared<TaskBatch>();
   batch->assign_ = assign;
   batch->payload_ = std::make_shared<const std::string>(assign.payload_);
@@ -357,8 +359,9 @@
   ++load_version_;
 }
 
-void WorkerScheduler::NoteSessionAlive(SessionId session, Time now) {
-  last_heard_[session.value_] = now;
+void WorkerScheduler::NoteSessionAlive(SessionId session, Time alive_at) {
+  Time& last = last_alive_[session.value_];
+  last = std::max(last, alive_at);
 }
 
 void WorkerScheduler::EndSession(SessionId session, Time now,
@@ -375,7 +378,7 @@
     }
   }
   if (!all.tasks_.empty()) On(session, all, now, out);
-  last_heard_.erase(session.value_);
+  last_alive_.erase(session.value_);
 }
 
 void WorkerScheduler::SendPoll(Worker* worker, bool immediate, Time now,
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -258,8 +258,9 @@
           SchedulerOutbox* out);
   void On(SessionId session, const CancelTasks& cancel, Time now,
           SchedulerOutbox* out);
-  /// Records a sign of life of a session.
-  void NoteSessionAlive(SessionId session, Time now);
+  /// Records that the coordinator of a session was alive at a time, which is
+  /// when it gave that sign of life and not when that arrived.
+  void NoteSessionAlive(SessionId session, Time alive_at);
   /// Cancels all tasks of a session whose connection ended.
   void EndSession(SessionId session, Time now, SchedulerOutbox* out);
 
@@ -391,7 +392,8 @@
                        Time now);
   bool TakeCall(WorkerCallId id, Call* out);
   /// Returns the time by which the leases of a session's runs must end if it
-  /// stays silent; absent for the local session, which needs no limit.
+  /// stays silent; absent for the local session, which needs no limit. Nothing
+  /// can start for a session that has given no sign of life.
   std::optional<Time> SessionLeaseLimit(SessionId session) const;
   /// Returns the time by which a run must have ended whose caller may have lost
   /// its connection at `lost_at` and so submits the job again.
@@ -466,7 +468,7 @@
   std::unordered_map<uint64_t, Call> calls_;
   std::vector<Task> queue_;  ///< Waiting tasks, ordered by `start_by_`.
   /// Last sign of life by session, without the local one.
-  std::unordered_map<uint64_t, Time> last_heard_;
+  std::unordered_map<uint64_t, Time> last_alive_;
   WorkerSchedulerStats stats_;
 };
 
