--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -64,12 +64,12 @@
 
 /// Faults of a path are named PATH-WHAT. PATH is `caller` (to an instance),
 /// `peer` (instance to instance), `worker` or `store` (from an instance).
-/// `drop-near` ends only the side that opened the connection, `drop-far` only
-/// the other one.
+/// `cut` silences one direction. `drop-near` ends only the side that opened the
+/// connection, `drop-far` only the other one.
 std::vector<std::string> AllFaultKinds();
 
 /// @param list Names or beginnings of names, separated by commas; `all` for
-/// every kind.
+/// every kind. `-` before a name takes its kinds out again.
 /// @returns the kinds that are named; empty when a name fits none.
 std::vector<std::string> FaultKinds(const std::string& list);
 
