--- a/tests/process/standins_test.cc
+++ b/tests/process/standins_test.cc
@@ -95,6 +95,46 @@
   BOOST_TEST(fetch("/again").complete_);
 }
 
+BOOST_AUTO_TEST_CASE(ProxyDisturbsOneWayOrOneSide) {
+  constexpr Duration kHeld{300};
+  const Folder folder;
+  Workers workers(folder, 1);
+  Proxy proxy;
+  Address address;
+  const size_t pair = proxy.Add(workers.addresses().front(), &address);
+  const auto fetch = [&](const std::string& path) {
+    return Fetch(address, {"GET", path, {}, ""}, Duration{1000});
+  };
+  for (const char* way : {"up", "down"}) {
+    proxy.Disturb(pair, std::string("what=hold&ms=300&way=") + way);
+    const Time before = MonotonicClock().Now();
+    BOOST_TEST(fetch("/held?bytes=8").complete_);
+    BOOST_TEST((MonotonicClock().Now() - before).ms_ >= kHeld.ms_ - 20);
+  }
+  struct Case {
+    const char* what_;
+    bool caller_notices_;
+  };
+  for (const Case& c :
+       {Case{"what=silence", false}, Case{"what=silence&way=down", false},
+        Case{"what=drop_target", false}, Case{"what=drop_caller", true},
+        Case{"what=drop_caller&close=1", true}, Case{"what=reset", true}}) {
+    BOOST_TEST_CONTEXT(c.what_) {
+      Caller caller;
+      const std::string path = std::string("/late?ms=200&") + c.what_;
+      const size_t sent = caller.Send(address, {"GET", path, {}, ""});
+      BOOST_TEST(caller.RunUntil([&] { return workers.StartsOf(path) == 1; }));
+      proxy.Disturb(pair, c.what_);
+      const bool noticed =
+          caller.RunUntil([&] { return caller.Answered(sent); }, Duration{500});
+      BOOST_TEST(noticed == c.caller_notices_);
+      if (noticed) BOOST_TEST(!caller.Answer(sent).complete_);
+      BOOST_TEST(fetch("/new?bytes=8").complete_);
+      caller.GiveUp(sent);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace gentiandeal::process
