Close gaps around a worker that restarts while it is stopped or silent

- The answer to a stop counted for the present incarnation though an earlier one had given it; the run was settled and its late start not stopped.
Stops sent before the restart are now sent again.
- The run that stands for a voided start let its lease be renewed; it no longer does.
- The task of a start that was never seen was placed again once its silent worker's lease had ended.
A worker that has restarted may carry the start out later, so the task is reported as unknown.

A lease that was granted before may be granted again up to the same end, so that one detached run doesn't bar its worker.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -150,7 +150,7 @@
 
 void WorkerScheduler::Detach(Run* run, Time now) const {
   const auto session_limit = SessionLeaseLimit(run->task_->session_);
-  run->must_end_by_ = session_limit.value_or(ResubmissionLimit(now));
+  run->renewed_until_ = session_limit.value_or(ResubmissionLimit(now));
   run->task_.reset();
 }
 
@@ -159,11 +159,12 @@
 Duration WorkerScheduler::LeaseFor(const Worker& worker, Time now) const {
   Duration lease = limits_.lease_;
   for (const Run& run : worker.runs_) {
-    const auto until =
-        run.task_ ? SessionLeaseLimit(run.task_->session_) : run.must_end_by_;
+    const auto until = run.task_ ? SessionLeaseLimit(run.task_->session_)
+                                 : run.renewed_until_;
     if (until) lease = std::min(lease, *until - now);
   }
-  return std::max(lease, Duration{0});
+  // What was granted before can be granted again.
+  return std::max({lease, worker.lease_until_ - now, Duration{0}});
 }
 
 bool WorkerScheduler::CanLease(const Worker& worker, SessionId session,
@@ -257,7 +258,8 @@
     if (run.start_seen_at_) run.start_seen_at_ = now;
     run.missing_since_.reset();
     run.stop_answered_at_.reset();
-    run.stop_answered_ = false;
+    run.stop_answered_ = run.stop_pending_ = false;
+    run.next_stop_at_ = now;
     run.start_valid_until_ms_ = 0;
     run.start_expired_since_.reset();
   }
@@ -283,6 +285,7 @@
     run.name_ = start.task_;
     run.number_ = start.run_;
     run.sent_at_ = start.sent_at_;
+    run.renewed_until_ = now;
     RequestStop(worker, &run, "worker-restarted", now, out);
   }
 }
@@ -490,7 +493,8 @@
     if (!run.start_seen_at_) RememberVoided(worker, run, now);
     if (reason != RunOverReason::kOutOfReach) ++stats_.runs_inferred_over_;
     if (!run.task_) continue;
-    if (reason == RunOverReason::kOutOfReach) {
+    // A worker that has restarted may yet carry out a start that wasn't seen.
+    if (reason == RunOverReason::kOutOfReach || !run.start_seen_at_) {
       Report(*run.task_, TaskEnd::kUnknown, out);
     } else {
       Requeue(std::move(*run.task_), *worker, now, out);
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -331,9 +331,9 @@
     bool inherited_ = false;  ///< Started by another owner.
     /// When the start was answered or the run was first listed.
     std::optional<Time> start_seen_at_;
-    /// By which its lease must end although no stop was answered; set when
-    /// nobody awaits its end.
-    std::optional<Time> must_end_by_;
+    /// Beyond which its lease isn't renewed although no stop was answered; set
+    /// once nobody awaits its end.
+    std::optional<Time> renewed_until_;
     bool stop_pending_ = false;  ///< A stop call is in progress.
     std::string_view stop_reason_;
     bool stop_answered_ = false;  ///< Any stop was answered.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -124,6 +124,8 @@
   if (worker == nullptr) return;
   for (Run& run : worker->runs_) {
     if (run.key_ != call.run_) continue;
+    // An earlier incarnation may have answered, whose stops are forgotten.
+    if (call.sent_ < worker->incarnation_since_) return;
     run.stop_pending_ = false;
     if (!ended.answered_) return;
     run.stop_answered_ = true;
@@ -312,7 +314,7 @@
     run.number_ = running.run_;
     run.start_seen_at_ = now;
     run.inherited_ = true;
-    run.must_end_by_ = now;  // Its callers count from before.
+    run.renewed_until_ = now;  // Its callers count from before.
     RequestStop(worker, &run, "inherited", now, out);
   }
 }
