List a job that was given up late until its runs have ended

Callers could see a task run twice at once (found by the review of the recall of jobs; shown by a unit case).

Cause: a job left the list of long open jobs when it was given up, not when its runs were over. If the caller's loss was noticed late, it might be back at once, while a stop without an answer leaves a run to its lease.

Evidence: AJobGivenUpLateStaysListedWhileItsRunsMayLast; before, the list was empty and the job was assigned again at once (the code had no such list to fail; the case was written with it).

Jobs younger than 500 ms aren't listed: their loss can't have been noticed later than that. Jobs are listed by the arrival of their requests, whatever their order; a list counts 150 ms longer than resend_ms, for its own interval and a late tick; the log tells whether a recall was sent.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -272,7 +272,7 @@
       coordinator_.JobsOpenElsewhere(coordinator, jobs.ids_, clock_.Now());
     };
     events.recall_ = [this](const MeshRecallJob& recall) {
-      coordinator_.Recall(recall.id_, &coordinator_out_);
+      coordinator_.Recall(recall.id_, clock_.Now(), &coordinator_out_);
       ExecuteCommands();
     };
     events.session_started_ = [](SessionId session,
@@ -350,9 +350,10 @@
     }
   }
   void Execute(const SendRecall& recall) {
-    spdlog::info("event=recall request={} coordinator={}", recall.job_,
-                 recall.coordinator_.value_);
-    mesh_.Send(recall.coordinator_, MeshRecallJob{recall.job_});
+    const bool sent =
+        mesh_.Send(recall.coordinator_, MeshRecallJob{recall.job_});
+    spdlog::info("event=recall request={} coordinator={} sent={}", recall.job_,
+                 recall.coordinator_.value_, sent);
   }
   void Execute(const TaskReassigned& task) {
     spdlog::info("event=reassign task={}.0.{}.{} owner={} end={}", task.job_,
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -28,7 +28,10 @@
 /// caller that lost it submits it again, so that other instances know by then.
 constexpr Duration kLongOpenAge{500};
 /// Time after which the runs of an instance that reports nothing have ended.
-constexpr Duration kOpenElsewhereMemory{1300};
+constexpr Duration kOpenElsewhereMemory{1450};
+/// Time after which no run of a job that was given up is left, even if its stop
+/// got no answer: the lease, on a clock that is 2 % slow, and the stop timeout.
+constexpr Duration kEndingTime{1000};
 /// Lower bound of `AssignTasks::give_up_after_`.
 constexpr Duration kMinGiveUp{50};
 
@@ -141,7 +144,9 @@
   }
   if (const std::string* coordinator = FindOpenElsewhere(spec.id_, now)) {
     // Its tasks may still run there. They have ended when the job comes again.
-    out->push_back(SendRecall{{*coordinator}, spec.id_});
+    if (*coordinator != self_.value_) {
+      out->push_back(SendRecall{{*coordinator}, spec.id_});
+    }
     ++stats_.interrupted_;
     out->push_back(AnswerHostedJob{submit.request_,
                                    HostedJobOutcome::kInterrupted,
@@ -235,7 +240,7 @@
     assign.job_started_ = placement.any_immediate_ || job.started_;
     out->push_back(SendAssign{{owner_and_step.first}, std::move(assign)});
   }
-  if (job.assigned_ == 0) Abandon(id, "no-workers", out);
+  if (job.assigned_ == 0) Abandon(id, "no-workers", now, out);
 }
 
 void JobCoordinator::Place(uint64_t id, Job* job, uint32_t step, uint32_t index,
@@ -303,19 +308,19 @@
       return PlaceReady(ref.job_, now, out);
     case TaskEnd::kFailed:
       if (++task.failures_ >= job.spec_->max_failures_) {
-        CancelAssigned(&job, out);
+        CancelAssigned(&job, now, out);
         return Finish(ref.job_, HostedJobOutcome::kFailed, "task-failed", out);
       }
       break;
     case TaskEnd::kUnknown:
     case TaskEnd::kCancelled:  // A run may be in progress still.
-      CancelAssigned(&job, out);
+      CancelAssigned(&job, now, out);
       return Finish(ref.job_, HostedJobOutcome::kInterrupted, "worker-lost",
                     out);
     case TaskEnd::kExpired:
       // A job that has started goes on while its answer is still useful.
       if (job.started_ && now < UsefulUntil(job)) break;
-      return Abandon(ref.job_, "too-late", out);
+      return Abandon(ref.job_, "too-late", now, out);
     case TaskEnd::kLost:
       ++task.reassignments_;
       break;
@@ -323,7 +328,7 @@
       break;
   }
   if (task.reassignments_ > kMaxReassignments) {
-    return Abandon(ref.job_, "moved-often", out);
+    return Abandon(ref.job_, "moved-often", now, out);
   }
   ++stats_.tasks_reassigned_;
   out->push_back(
@@ -348,7 +353,11 @@
   return pools;
 }
 
-void JobCoordinator::CancelAssigned(Job* job, CoordinatorOutbox* out) {
+void JobCoordinator::CancelAssigned(Job* job, Time now,
+                                    CoordinatorOutbox* out) {
+  if (job->assigned_ > 0 && now - job->accepted_ >= kLongOpenAge) {
+    ending_[job->spec_->id_] = now + kEndingTime;
+  }
   std::map<std::string, CancelTasks> by_owner;
   for (auto& step : job->steps_) {
     for (TaskRecord& task : step) {
@@ -361,13 +370,13 @@
   }
 }
 
-void JobCoordinator::Abandon(uint64_t id, std::string_view reason,
+void JobCoordinator::Abandon(uint64_t id, std::string_view reason, Time now,
                              CoordinatorOutbox* out) {
   Job& job = jobs_[id];
   if (!job.abandoned_) {
     job.abandoned_ = true;
     job.reason_ = reason;
-    CancelAssigned(&job, out);
+    CancelAssigned(&job, now, out);
   }
   FinishIfNoneAssigned(id, out);
 }
@@ -418,14 +427,14 @@
   jobs_.erase(found);
 }
 
-void JobCoordinator::On(const CallerDisconnected& gone, Time /*now*/,
+void JobCoordinator::On(const CallerDisconnected& gone, Time now,
                         CoordinatorOutbox* out) {
   const auto found = jobs_by_request_.find(gone.request_.value_);
   if (found == jobs_by_request_.end()) return;
   ++stats_.caller_disconnected_;
   const uint64_t id = found->second;
   Job& job = jobs_[id];
-  CancelAssigned(&job, out);
+  CancelAssigned(&job, now, out);
   job.request_ = RequestId{};
   jobs_by_request_.erase(found);
   Finish(id, HostedJobOutcome::kInterrupted, "caller-gone", out);
@@ -434,11 +443,11 @@
 std::vector<std::string> JobCoordinator::LongOpenJobs(Time now) const {
   std::vector<std::string> ids;
   for (const auto& [id, job] : jobs_) {
-    if (now - job.accepted_ < kLongOpenAge ||
-        ids.size() >= config::kMaxOpenJobsPerReport) {
-      break;  // Later jobs are younger.
-    }
-    ids.push_back(job.spec_->id_);
+    if (now - job.accepted_ >= kLongOpenAge) ids.push_back(job.spec_->id_);
+  }
+  for (const auto& [id, until] : ending_) ids.push_back(id);
+  if (ids.size() > config::kMaxOpenJobsPerReport) {
+    ids.resize(config::kMaxOpenJobsPerReport);
   }
   return ids;
 }
@@ -451,6 +460,7 @@
 
 const std::string* JobCoordinator::FindOpenElsewhere(const std::string& id,
                                                      Time now) const {
+  if (ending_.count(id) > 0) return &self_.value_;
   for (const auto& [coordinator, open] : open_elsewhere_) {
     if (now - open.at_ <= kOpenElsewhereMemory && open.ids_.count(id) > 0) {
       return &coordinator;
@@ -459,12 +469,13 @@
   return nullptr;
 }
 
-void JobCoordinator::Recall(const std::string& id, CoordinatorOutbox* out) {
+void JobCoordinator::Recall(const std::string& id, Time now,
+                            CoordinatorOutbox* out) {
   const auto found = jobs_by_id_.find(id);
   if (found == jobs_by_id_.end()) return;
   ++stats_.recalled_;
   const uint64_t job = found->second;
-  CancelAssigned(&jobs_[job], out);
+  CancelAssigned(&jobs_[job], now, out);
   Finish(job, HostedJobOutcome::kInterrupted, "submitted-elsewhere", out);
 }
 
@@ -474,7 +485,7 @@
   owners_[owner.value_] = {data_centre, load};
 }
 
-void JobCoordinator::OwnerLost(const InstanceName& owner, Time /*now*/,
+void JobCoordinator::OwnerLost(const InstanceName& owner, Time now,
                                CoordinatorOutbox* out) {
   owners_.erase(owner.value_);
   std::vector<uint64_t> affected;
@@ -489,27 +500,29 @@
     }
   }
   for (const uint64_t id : affected) {
-    CancelAssigned(&jobs_[id], out);
+    CancelAssigned(&jobs_[id], now, out);
     Finish(id, HostedJobOutcome::kInterrupted, "owner-lost", out);
   }
 }
 
 void JobCoordinator::Tick(Time now, CoordinatorOutbox* out) {
+  std::erase_if(ending_,
+                [now](const auto& entry) { return now >= entry.second; });
   std::vector<uint64_t> expired;
   for (const auto& [id, job] : jobs_) {
     if (now >= job.accepted_ + job.spec_->deadline_) expired.push_back(id);
   }
   for (const uint64_t id : expired) {
-    CancelAssigned(&jobs_[id], out);
+    CancelAssigned(&jobs_[id], now, out);
     Finish(id, HostedJobOutcome::kTimedOut, "deadline", out);
   }
 }
 
-void JobCoordinator::Resume(Time /*now*/, CoordinatorOutbox* out) {
+void JobCoordinator::Resume(Time now, CoordinatorOutbox* out) {
   std::vector<uint64_t> ids;
   for (const auto& [id, job] : jobs_) ids.push_back(id);
   for (const uint64_t id : ids) {
-    CancelAssigned(&jobs_[id], out);
+    CancelAssigned(&jobs_[id], now, out);
     Finish(id, HostedJobOutcome::kInterrupted, "resumed-after-pause", out);
   }
 }
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -141,13 +141,14 @@
           CoordinatorOutbox* out);
 
   /// Returns the ids of jobs that have been open for so long that their callers
-  /// may be about to submit them elsewhere.
+  /// may be about to submit them elsewhere, and of those given up that may
+  /// still have runs.
   std::vector<std::string> LongOpenJobs(Time now) const;
   /// Records the long open jobs of another instance, in place of those before.
   void JobsOpenElsewhere(const InstanceName& coordinator,
                          const std::vector<std::string>& ids, Time now);
   /// Ends a job whose caller has submitted it to another instance.
-  void Recall(const std::string& id, CoordinatorOutbox* out);
+  void Recall(const std::string& id, Time now, CoordinatorOutbox* out);
 
   /// Records the current load of an owner that can be reached.
   void OwnerLoadReported(const InstanceName& owner,
@@ -225,7 +226,8 @@
   };
 
   bool FitsSomewhere(const HostedJob& job) const;
-  /// Returns the other instance at which a job is open; null if none is known.
+  /// Returns the instance at which a job is open or may still have runs; null
+  /// if none is known.
   const std::string* FindOpenElsewhere(const std::string& id, Time now) const;
   /// Loads of a pool at all owners that aren't draining.
   std::vector<const PoolLoad*> PoolLoads(const std::string& pool) const;
@@ -239,14 +241,15 @@
   /// Latest start of the job's critical path that gives a useful answer.
   static Time UsefulUntil(const Job& job);
   /// Cancels all assigned tasks of a job.
-  void CancelAssigned(Job* job, CoordinatorOutbox* out);
+  void CancelAssigned(Job* job, Time now, CoordinatorOutbox* out);
   void Refuse(RequestId request, std::string_view reason, Duration wait,
               Duration slack, CoordinatorOutbox* out);
   /// Answers the caller, if it is still connected, and removes the job.
   void Finish(uint64_t id, HostedJobOutcome outcome, std::string_view reason,
               CoordinatorOutbox* out);
   /// Cancels all tasks; the job ends once their owners have reported them.
-  void Abandon(uint64_t id, std::string_view reason, CoordinatorOutbox* out);
+  void Abandon(uint64_t id, std::string_view reason, Time now,
+               CoordinatorOutbox* out);
   void FinishIfNoneAssigned(uint64_t id, CoordinatorOutbox* out);
 
   InstanceName self_;
@@ -260,6 +263,8 @@
   std::unordered_map<std::string, uint64_t> jobs_by_id_;
   std::unordered_map<uint64_t, TaskRef> tasks_;          // by serial
   std::map<std::string, OpenElsewhere> open_elsewhere_;  // by instance
+  /// Jobs that were given up and may still have runs, until the given time.
+  std::unordered_map<std::string, Time> ending_;
   JobCoordinatorStats stats_;
 };
 
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -248,7 +248,7 @@
 BOOST_AUTO_TEST_CASE(ForgetsTheOpenJobsOfASilentInstance) {
   coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 4096, 0}}));
   coordinator_.JobsOpenElsewhere({"other"}, {"a"}, now_);
-  now_ = now_ + Duration{1301};
+  now_ = now_ + Duration{1451};
   Submit(Job("a", 1));
   BOOST_TEST(All<SendRecall>().empty());
   BOOST_TEST(All<SendAssign>().size() == 1U);
@@ -261,7 +261,7 @@
   now_ = now_ + Duration{600};
   BOOST_TEST(coordinator_.LongOpenJobs(now_) == std::vector<std::string>{"a"},
              boost::test_tools::per_element());
-  coordinator_.Recall("a", &out_);
+  coordinator_.Recall("a", now_, &out_);
   BOOST_TEST(All<SendCancel>().size() == 1U);
   BOOST_REQUIRE(All<AnswerHostedJob>().size() == 1U);
   BOOST_TEST(
@@ -291,6 +291,26 @@
   BOOST_TEST(All<SendAssign>().empty());
 }
 
+// Guards against two runs of a task whose job was given up long after its
+// caller had lost it: its stop may get no answer, and the caller may be back at
+// once.
+BOOST_AUTO_TEST_CASE(AJobGivenUpLateStaysListedWhileItsRunsMayLast) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 4096, 0}}));
+  const RequestId request = Submit(Job("a", 1));
+  now_ = now_ + Duration{600};
+  coordinator_.On(CallerDisconnected{request}, now_, &out_);
+  BOOST_TEST(coordinator_.LongOpenJobs(now_) == std::vector<std::string>{"a"},
+             boost::test_tools::per_element());
+  Submit(Job("a", 1));
+  BOOST_TEST(All<SendAssign>().size() == 1U);
+  BOOST_TEST(All<SendRecall>().empty());
+  now_ = now_ + Duration{1000};
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST(coordinator_.LongOpenJobs(now_).empty());
+  Submit(Job("a", 1));
+  BOOST_TEST(All<SendAssign>().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
