--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -159,8 +159,8 @@
 Duration WorkerScheduler::LeaseFor(const Worker& worker, Time now) const {
   Duration lease = limits_.lease_;
   for (const Run& run : worker.runs_) {
-    const auto until = run.task_ ? SessionLeaseLimit(run.task_->session_)
-                                 : run.renewed_until_;
+    const auto until =
+        run.task_ ? SessionLeaseLimit(run.task_->session_) : run.renewed_until_;
     if (until) lease = std::min(lease, *until - now);
   }
   // What was granted before can be granted again.
