Keep the ports of a fleet's peers reserved between two starts

The fixture starts the instances, ends them and starts them again on the same ports; meanwhile the kernel may give such a port to any other socket, as connections of other processes take hundreds. The fixture now holds the TCP ports with bound sockets all the while, as the tests of hosted instances do. The checks are the same; the suite passes. A UDP socket of another process could still take the same number.

--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 
+#include "hosted_process.h"
 #include "ledger.h"
 
 namespace gentiandeal::process {
@@ -12,8 +13,10 @@
       : workers_(folder_, workers, slots) {
     folder_.Write("settings.ini",
                   "[service]\nworker_slots = " + std::to_string(slots) + "\n");
-    BootFile boot;
     for (uint32_t i = 0; i < instances; ++i) {
+      BootFile boot;
+      boot.peers_ =
+          ports_.emplace_back(std::make_unique<ReservedPort>())->address();
       entries_.push_back(std::make_unique<Instance>(folder_, boot));
     }
     Restart();
@@ -52,6 +55,9 @@
   Address callers(size_t index) { return entries_[index]->callers(); }
 
   Folder folder_;
+  /// Of the peers. Without these, another socket could take one between two
+  /// starts.
+  std::vector<std::unique_ptr<ReservedPort>> ports_;
   Workers workers_;
   std::vector<std::unique_ptr<Instance>> entries_;
 };
