Let a few large instances own the workers, and connect only to owners

Cause: every instance owned an equal part of its data centre's workers and was connected to every other instance.

Owners are now selected by each instance from what the store lists: as few as can serve the workers (128 a core of processor share, two at least), largest shares first, present owners before their equals. Instances connect to all owners of their data centre and two of each other one; a link goes on while tasks are open there. Load reports are paced by the number of sessions. Lists of long open jobs go to owners, which relay them within their data centre, and recalls go the same way. The plan is made anew only when the view changes, not every 20 ms for all workers.

--- a/src/config.h
+++ b/src/config.h
@@ -21,6 +21,10 @@
 inline constexpr uint32_t kMaxTasksPerMessage = 4096;
 /// Most pools of leased workers in one load report of an owner.
 inline constexpr uint32_t kMaxPoolsPerReport = 64;
+/// Most leased workers of one pool in a load report of an owner.
+inline constexpr uint32_t kMaxWorkersPerReport = 16384;
+/// Most coordinators whose long open jobs are listed in one message.
+inline constexpr uint32_t kMaxListsPerReport = 4096;
 /// Most jobs in one list of the long open jobs of an instance.
 inline constexpr uint32_t kMaxOpenJobsPerReport = 1024;
 
--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -11,6 +11,7 @@
 #include "hosted_metrics.h"
 #include "job_coordinator.h"
 #include "mesh_link.h"
+#include "open_jobs_relay.h"
 #include "worker_ownership.h"
 #include "worker_scheduler.h"
 
@@ -63,6 +64,8 @@
   InstanceName name_;
   std::string data_centre_;
   Address peer_address_;  ///< Where other instances connect.
+  /// Processor share, in thousandths of a core; 0 when unknown.
+  int32_t cpu_milli_ = 0;
   /// Time from SIGTERM until the process must have stopped. Jobs that are still
   /// open then are ended.
   Duration drain_limit_{5000};
@@ -129,9 +132,9 @@
   /// Time after the drain limit at which the process no longer waits for the
   /// withdrawal of its record. Leaves 700 ms of the platform's grace period.
   static constexpr Duration kWithdrawalTimeout{400};
-  /// Minimum interval between load reports. Only the report at the start of a
-  /// drain is sent regardless.
-  static constexpr Duration kLoadInterval{20};
+  /// Interval at which the links are reconsidered while the plan is unchanged,
+  /// to close those kept only for the tasks that were open there.
+  static constexpr Duration kLinkInterval{200};
   /// Interval between reports of the jobs that have been open for long.
   static constexpr Duration kOpenJobsInterval{100};
 
@@ -147,6 +150,7 @@
     record.incarnation_ = incarnation_;
     record.data_centre_ = init_.data_centre_;
     record.peer_address_ = init_.peer_address_;
+    record.cpu_milli_ = init_.cpu_milli_;
     return record;
   }
 
@@ -209,12 +213,10 @@
     };
     events.instance_listed_ = [this](const InstanceRecord& record) {
       ownership_.InstanceListed(record);
-      mesh_.SetPeers(ownership_.Peers());
     };
     events.instance_unlisted_ = [this](const InstanceName& name) {
       spdlog::info("event=instance-unlisted instance={}", name.value_);
       ownership_.InstanceUnlisted(name);
-      mesh_.SetPeers(ownership_.Peers());
     };
     events.store_reachable_ = [this](bool up) { ownership_.SetStoreUp(up); };
     events.record_written_ = [this](Fence fence) {
@@ -267,11 +269,19 @@
     events.session_alive_ = [this](SessionId session, Time alive_at) {
       scheduler_.NoteSessionAlive(session, alive_at);
     };
-    events.jobs_open_elsewhere_ = [this](const InstanceName& coordinator,
-                                         const MeshOpenJobs& jobs) {
-      coordinator_.JobsOpenElsewhere(coordinator, jobs.ids_, clock_.Now());
+    events.open_jobs_ = [this](const MeshOpenJobs& jobs, bool relayed) {
+      for (const OpenJobList& list : jobs.lists_) {
+        if (list.coordinator_ == init_.name_) continue;
+        coordinator_.JobsOpenElsewhere(list.coordinator_, list.ids_,
+                                       clock_.Now());
+        if (!relayed) open_jobs_relay_.On(list);
+      }
     };
     events.recall_ = [this](const MeshRecallJob& recall) {
+      if (recall.coordinator_ != init_.name_) {
+        mesh_.SendToPeer(recall.coordinator_, recall);
+        return;
+      }
       coordinator_.Recall(recall.id_, clock_.Now(), &coordinator_out_);
       ExecuteCommands();
     };
@@ -350,8 +360,9 @@
     }
   }
   void Execute(const SendRecall& recall) {
-    const bool sent =
-        mesh_.Send(recall.coordinator_, MeshRecallJob{recall.job_});
+    const MeshRecallJob frame{recall.coordinator_, recall.job_};
+    const bool sent = mesh_.SendToPeer(recall.coordinator_, frame) ||
+                      mesh_.SendToNearOwners(frame);
     spdlog::info("event=recall request={} coordinator={} sent={}", recall.job_,
                  recall.coordinator_.value_, sent);
   }
@@ -459,23 +470,31 @@
                                    scheduler_.load(clock_.Now()));
   }
 
-  void BroadcastLoad(Time now) {
-    if (scheduler_.load_version() == shared_load_version_ ||
-        now - load_shared_at_ < kLoadInterval) {
+  void RefreshLinks(Time now) {
+    if (ownership_.plan_version() == linked_plan_ &&
+        now - links_refreshed_at_ < kLinkInterval) {
       return;
     }
-    shared_load_version_ = scheduler_.load_version();
-    load_shared_at_ = now;
-    mesh_.SendLoad(scheduler_.load(clock_.Now()));
+    linked_plan_ = ownership_.plan_version();
+    links_refreshed_at_ = now;
+    mesh_.SetPeers(ownership_.LinkTargets([this](const InstanceName& owner) {
+      return connected_owners_.count(owner.value_) > 0 &&
+             coordinator_.AwaitsTasksAt(owner);
+    }));
   }
 
   void BroadcastOpenJobs(Time now) {
     if (now - open_jobs_shared_at_ < kOpenJobsInterval) return;
     open_jobs_shared_at_ = now;
-    const MeshOpenJobs jobs{coordinator_.LongOpenJobs(now)};
+    const OpenJobList own{init_.name_, coordinator_.LongOpenJobs(now)};
     // An empty list is sent once, to take back the one before.
-    if (!jobs.ids_.empty() || shared_open_jobs_) mesh_.SendOpenJobs(jobs);
-    shared_open_jobs_ = !jobs.ids_.empty();
+    if (!own.ids_.empty() || shared_open_jobs_) {
+      mesh_.SendOpenJobs({{own}});
+      open_jobs_relay_.On(own);
+    }
+    shared_open_jobs_ = !own.ids_.empty();
+    const MeshOpenJobs relayed = open_jobs_relay_.Take();
+    if (!relayed.lists_.empty()) mesh_.RelayOpenJobs(relayed);
   }
 
   static void OnTick(evutil_socket_t, short, void* arg) {
@@ -490,8 +509,7 @@
       workers_changed_ = false;
       std::map<std::string, std::vector<LeasedWorkerRef>> pools;
       for (const auto& [id, worker] : ownership_.workers()) {
-        pools[worker.pool_].push_back(
-            std::make_shared<const LeasedWorker>(worker));
+        pools[worker->pool_].push_back(worker);
       }
       coordinator_.SetWorkers(std::move(pools));
     }
@@ -505,10 +523,12 @@
     ownership_.Tick(
         now, [this](const WorkerId& id) { return scheduler_.IsWorkerIdle(id); },
         &ownership_out_);
+    RefreshLinks(now);
     mesh_.Tick(now);
     backend_->Tick(now);
     ExecuteCommands();
-    BroadcastLoad(now);
+    mesh_.ShareLoad(scheduler_.load_version(), now,
+                    [this, now] { return scheduler_.load(now); });
     BroadcastOpenJobs(now);
     if (draining_) ContinueDrain(now);
   }
@@ -590,6 +610,7 @@
   WorkerScheduler scheduler_;
   JobCoordinator coordinator_;
   MeshLink mesh_;
+  OpenJobsRelay open_jobs_relay_;
   HostedMetrics metrics_;
   CoordinatorOutbox coordinator_out_;
   SchedulerOutbox scheduler_out_;
@@ -603,11 +624,11 @@
   event* reload_ = nullptr;
   Time last_tick_;
   Time drain_started_;
-  Time load_shared_at_;
+  Time links_refreshed_at_;
   Time open_jobs_shared_at_;
   bool shared_open_jobs_ = false;
   uint64_t own_load_version_ = 0;
-  uint64_t shared_load_version_ = 0;
+  uint64_t linked_plan_ = 0;
   bool executing_ = false;
   bool workers_changed_ = true;
   bool draining_ = false;
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -485,6 +485,13 @@
   owners_[owner.value_] = {data_centre, load};
 }
 
+bool JobCoordinator::AwaitsTasksAt(const InstanceName& owner) const {
+  return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& entry) {
+    const TaskRef& ref = entry.second;
+    return jobs_.at(ref.job_).steps_[ref.step_][ref.index_].owner_ == owner;
+  });
+}
+
 void JobCoordinator::OwnerLost(const InstanceName& owner, Time now,
                                CoordinatorOutbox* out) {
   owners_.erase(owner.value_);
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -174,6 +174,9 @@
   /// reported. Leaves out owners that are draining.
   std::vector<PoolLoad> RemotePoolsWithCapacity() const;
 
+  /// Returns whether tasks assigned to an owner haven't ended.
+  bool AwaitsTasksAt(const InstanceName& owner) const;
+
   bool idle() const { return jobs_.empty(); }
   size_t open_jobs() const { return jobs_.size(); }
   const JobCoordinatorStats& stats() const { return stats_; }
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -7,6 +7,7 @@
 
 #include <utility>
 
+#include "load_report_interval.h"
 #include "socket_address.h"
 #include "wire_frame.h"
 
@@ -138,6 +139,34 @@
   }
 }
 
+void MeshLink::ShareLoad(uint64_t version, Time now,
+                         const std::function<OwnerLoad()>& load) {
+  std::vector<Link*> sessions;
+  for (auto& [key, link] : links_) {
+    if (!link->outgoing_ && link->ready_) sessions.push_back(link.get());
+  }
+  std::string bytes;
+  for (Link* link : sessions) {
+    const Duration interval =
+        LoadReportInterval(sessions.size(), IsNear(*link));
+    if (link->load_version_ == version ||
+        now - link->load_sent_at_ < interval) {
+      continue;
+    }
+    if (bytes.empty()) {
+      load_ = load();
+      bytes = EncodeMesh(load_);
+    }
+    link->load_version_ = version;
+    link->load_sent_at_ = now;
+    WriteFrame(link, bytes);
+  }
+}
+
+bool MeshLink::IsNear(const Link& link) const {
+  return link.hello_.data_centre_ == self_.data_centre_;
+}
+
 void MeshLink::SendOpenJobs(const MeshOpenJobs& jobs) {
   const std::string bytes = EncodeMesh(jobs);
   for (auto& [name, link] : owners_) {
@@ -145,6 +174,38 @@
   }
 }
 
+void MeshLink::RelayOpenJobs(const MeshOpenJobs& jobs) {
+  const std::string bytes = EncodeMesh(jobs);
+  for (auto& [key, link] : links_) {
+    if (!link->outgoing_ && link->ready_ && IsNear(*link)) {
+      WriteFrame(link.get(), bytes);
+    }
+  }
+}
+
+bool MeshLink::SendToPeer(const InstanceName& peer, const MeshFrame& frame) {
+  if (Send(peer, frame)) return true;
+  for (auto& [key, link] : links_) {
+    if (link->outgoing_ || !link->ready_ || link->hello_.name_ != peer) {
+      continue;
+    }
+    WriteFrame(link.get(), EncodeMesh(frame));
+    return true;
+  }
+  return false;
+}
+
+bool MeshLink::SendToNearOwners(const MeshFrame& frame) {
+  const std::string bytes = EncodeMesh(frame);
+  bool sent = false;
+  for (auto& [name, link] : owners_) {
+    if (!link->ready_ || !IsNear(*link)) continue;
+    WriteFrame(link, bytes);
+    sent = true;
+  }
+  return sent;
+}
+
 void MeshLink::Drop(Link* link) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
@@ -229,6 +290,14 @@
     }
     return true;
   }
+  if (const auto* jobs = std::get_if<MeshOpenJobs>(&frame)) {
+    events_.open_jobs_(*jobs, /*relayed=*/link->outgoing_);
+    return true;
+  }
+  if (const auto* recall = std::get_if<MeshRecallJob>(&frame)) {
+    events_.recall_(*recall);
+    return true;
+  }
   if (link->outgoing_) {
     if (const auto* load = std::get_if<OwnerLoad>(&frame)) {
       events_.owner_load_(link->peer_.name_, link->hello_.data_centre_, *load);
@@ -245,14 +314,6 @@
     events_.assign_(link->session_, *assign);
     return true;
   }
-  if (const auto* jobs = std::get_if<MeshOpenJobs>(&frame)) {
-    events_.jobs_open_elsewhere_(link->hello_.name_, *jobs);
-    return true;
-  }
-  if (const auto* recall = std::get_if<MeshRecallJob>(&frame)) {
-    events_.recall_(*recall);
-    return true;
-  }
   const auto* cancel = std::get_if<CancelTasks>(&frame);
   if (cancel == nullptr) return false;
   events_.cancel_(link->session_, *cancel);
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -29,10 +29,11 @@
   std::function<void(SessionId session, const CancelTasks& cancel)> cancel_;
   std::function<void(SessionId session, const InstanceName& coordinator)>
       session_started_;
-  /// A coordinator listed its jobs that have been open for long.
-  std::function<void(const InstanceName& coordinator, const MeshOpenJobs& jobs)>
-      jobs_open_elsewhere_;
-  /// The caller of a job of this instance has submitted it to another one.
+  /// Lists of long open jobs: a coordinator's own one, or those that an owner
+  /// relays.
+  std::function<void(const MeshOpenJobs& jobs, bool relayed)> open_jobs_;
+  /// The caller of a job has submitted it to another instance. The job's
+  /// coordinator is this instance or one that may be connected to it.
   std::function<void(const MeshRecallJob& recall)> recall_;
   /// The peer of a session is known to have been alive at a time, on this
   /// process's clock.
@@ -48,12 +49,12 @@
   uint64_t bytes_sent_ = 0;
 };
 
-/// TCP connections between instances in a full mesh. Each instance connects to
-/// every other; over the connection that it opened it assigns tasks to the
-/// peer, which owns workers, and receives the ends of these tasks and the
-/// owner's load. For the side that accepted it, such a connection is a session.
-/// Either side treats the other as lost `kSilenceTimeout` after its last sign
-/// of life, as dated by `PeerLiveness`.
+/// TCP connections from each instance to the owners of workers that it assigns
+/// tasks to. Over the connection that it opened, an instance assigns tasks to
+/// the owner and receives the ends of these tasks and the owner's load. For the
+/// side that accepted it, such a connection is a session. Either side treats
+/// the other as lost `kSilenceTimeout` after its last sign of life, as dated by
+/// `PeerLiveness`.
 class MeshLink {
  public:
   /// Interval of heartbeats. Two of them and the round trip separate a sign of
@@ -86,9 +87,22 @@
 
   /// Sends the load of this instance to all that may assign tasks to it.
   void SendLoad(const OwnerLoad& load);
+  /// Sends the load of this instance to those whose last report is another
+  /// version and old enough, as `LoadReportInterval` tells.
+  /// @param load Returns the load; called at most once.
+  void ShareLoad(uint64_t version, Time now,
+                 const std::function<OwnerLoad()>& load);
 
-  /// Sends a list of open jobs to all peers.
+  /// Sends a list of open jobs to the owners that this instance assigns to.
   void SendOpenJobs(const MeshOpenJobs& jobs);
+  /// Sends lists of open jobs to the connected instances of this data centre.
+  void RelayOpenJobs(const MeshOpenJobs& jobs);
+  /// Sends a frame to an instance over any connection to it. @returns false if
+  /// there is none.
+  bool SendToPeer(const InstanceName& peer, const MeshFrame& frame);
+  /// Sends a frame to the owners of this data centre. @returns whether there
+  /// was any.
+  bool SendToNearOwners(const MeshFrame& frame);
 
   /// Opens missing connections, sends heartbeats, and closes connections that
   /// were silent for too long or have too much unsent. To be called from a
@@ -112,6 +126,8 @@
     MeshHello hello_;      ///< Of the peer.
     SessionId session_;    ///< If accepted.
     PeerLiveness liveness_;
+    uint64_t load_version_ = 0;  ///< Last one sent.
+    Time load_sent_at_;
   };
 
   static void OnAccept(evconnlistener* listener, int fd, sockaddr* from,
@@ -123,6 +139,8 @@
   Link* Add(int fd, bool outgoing);
   void Write(Link* link, const std::string& bytes);
   void WriteHeartbeat(Link* link, Time now);
+  /// Whether the peer is in this instance's data centre.
+  bool IsNear(const Link& link) const;
   /// Writes an encoded frame after a heartbeat, unless one was just written.
   void WriteFrame(Link* link, const std::string& bytes);
   void Drop(Link* link);
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -79,7 +79,7 @@
 template <typename Archive>
 void Serialize(Archive& archive, PoolLoad& load) {
   archive.Text(load.pool_);
-  SerializeList(archive, load.free_, config::kMaxWorkers, uint16_t{0});
+  SerializeList(archive, load.free_, config::kMaxWorkersPerReport, uint16_t{0});
   archive.Value(load.released_cpu_milli_per_s_);
   for (uint32_t& queued : load.queued_cpu_milli_) archive.Value(queued);
 }
@@ -90,13 +90,20 @@
   SerializeList(archive, load.pools_, config::kMaxPoolsPerReport, uint8_t{0});
 }
 
+template <typename Archive>
+void Serialize(Archive& archive, OpenJobList& list) {
+  Serialize(archive, list.coordinator_);
+  SerializeList(archive, list.ids_, config::kMaxOpenJobsPerReport, uint16_t{0});
+}
+
 template <typename Archive>
 void Serialize(Archive& archive, MeshOpenJobs& jobs) {
-  SerializeList(archive, jobs.ids_, config::kMaxOpenJobsPerReport, uint16_t{0});
+  SerializeList(archive, jobs.lists_, config::kMaxListsPerReport, uint16_t{0});
 }
 
 template <typename Archive>
 void Serialize(Archive& archive, MeshRecallJob& recall) {
+  Serialize(archive, recall.coordinator_);
   archive.Text(recall.id_);
 }
 
@@ -109,7 +116,7 @@
 namespace {
 
 /// First byte of every frame; has to change whenever the format does.
-constexpr uint8_t kMeshFormat = 0xe2;
+constexpr uint8_t kMeshFormat = 0xe3;
 
 }  // namespace
 
--- a/src/mesh_wire.h
+++ b/src/mesh_wire.h
@@ -28,15 +28,24 @@
   Time echo_;
 };
 
-/// Jobs that have been open at the sender for long enough that their callers
-/// may have lost it and submit them elsewhere. Replaces the list sent before.
-struct MeshOpenJobs {
+/// Jobs that have been open at a coordinator for long enough that their callers
+/// may have lost it and submit them elsewhere. Replaces its list sent before.
+struct OpenJobList {
+  InstanceName coordinator_;
   std::vector<std::string> ids_;
 };
 
-/// Asks the receiver to end a job, which its caller has submitted to the
-/// sender.
+/// From a coordinator to the owners that it is connected to: its own list. From
+/// an owner to the instances of its data centre that are connected to it: the
+/// lists that it has received since the last such frame, and its own.
+struct MeshOpenJobs {
+  std::vector<OpenJobList> lists_;
+};
+
+/// Asks a coordinator to end a job, which its caller has submitted to another
+/// instance. An owner forwards it to that coordinator.
 struct MeshRecallJob {
+  InstanceName coordinator_;
   std::string id_;
 };
 
--- /dev/null
+++ b/src/owner_selection.cc
@@ -0,0 +1,152 @@
+#include "owner_selection.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace gentiandeal {
+namespace {
+
+/// Processor share that an instance without a known one counts as.
+constexpr int32_t kDefaultCpuMilli = 1000;
+
+/// Rendezvous hash of a pair of names.
+uint64_t HashPair(const std::string& a, const std::string& b) {
+  const std::string joined = a + '\n' + b;
+  return XXH3_64bits(joined.data(), joined.size());
+}
+
+double Cores(const SelectableInstance& instance) {
+  const int32_t cpu =
+      instance.cpu_milli_ > 0 ? instance.cpu_milli_ : kDefaultCpuMilli;
+  return cpu / 1000.0;
+}
+
+/// Owner of some workers of a data centre.
+struct Share {
+  std::string name_;
+  double cores_ = 0;
+  size_t limit_ = 0;
+  size_t workers_ = 0;
+};
+
+/// Assigns workers to shares: each one stays with its present owner up to that
+/// owner's limit, the rest go where the load is lowest.
+void Distribute(const std::vector<std::string>& workers,
+                const std::map<std::string, std::string>& present,
+                std::vector<Share> shares,
+                std::map<std::string, std::string>* assignment) {
+  if (shares.empty()) return;
+  double cores = 0;
+  for (const Share& share : shares) cores += share.cores_;
+  std::map<std::string, Share*> by_name;
+  for (Share& share : shares) {
+    const double part =
+        static_cast<double>(workers.size()) * share.cores_ / cores;
+    share.limit_ = static_cast<size_t>(part) + 1;
+    if (static_cast<double>(share.limit_ - 1) == part) --share.limit_;
+    by_name[share.name_] = &share;
+  }
+  std::vector<std::string> unassigned;
+  for (const std::string& id : workers) {
+    const auto owner = present.find(id);
+    const auto keeper =
+        owner == present.end() ? by_name.end() : by_name.find(owner->second);
+    if (keeper == by_name.end() ||
+        keeper->second->workers_ >= keeper->second->limit_) {
+      unassigned.push_back(id);
+      continue;
+    }
+    ++keeper->second->workers_;
+    (*assignment)[id] = keeper->first;
+  }
+  const auto load = [](const Share& share) {
+    return static_cast<double>(share.workers_ + 1) / share.cores_;
+  };
+  for (const std::string& id : unassigned) {
+    const auto lowest = std::min_element(
+        shares.begin(), shares.end(),
+        [&](const Share& a, const Share& b) { return load(a) < load(b); });
+    ++lowest->workers_;
+    (*assignment)[id] = lowest->name_;
+  }
+}
+
+}  // namespace
+
+SelectedOwners SelectOwners(const OwnershipView& view) {
+  std::map<std::string, size_t> workers;
+  for (const auto& [id, data_centre] : view.workers_) ++workers[data_centre];
+  std::set<std::string> owning;
+  for (const auto& [id, name] : view.owners_) owning.insert(name);
+  SelectedOwners owners;
+  for (const auto& [name, instance] : view.instances_) {
+    owners[instance.data_centre_].push_back(name);
+  }
+  for (auto& [data_centre, names] : owners) {
+    std::vector<std::tuple<int32_t, bool, std::string>> ranked;
+    for (const std::string& name : names) {
+      ranked.emplace_back(-view.instances_.at(name).cpu_milli_,
+                          owning.count(name) == 0, name);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    names.clear();
+    double served = 0;
+    for (const auto& [cpu, idle, name] : ranked) {
+      if (names.size() >= kMinOwners &&
+          served >= static_cast<double>(workers[data_centre])) {
+        break;
+      }
+      names.push_back(name);
+      served += kWorkersPerCore * Cores(view.instances_.at(name));
+    }
+    std::sort(names.begin(), names.end());
+  }
+  return owners;
+}
+
+std::map<std::string, std::string> AssignWorkers(const OwnershipView& view,
+                                                 const SelectedOwners& owners) {
+  std::map<std::string, std::vector<std::string>> workers;
+  for (const auto& [id, data_centre] : view.workers_) {
+    const bool served = owners.count(data_centre) > 0;
+    workers[served ? data_centre : std::string()].push_back(id);
+  }
+  std::map<std::string, std::string> assignment;
+  for (const auto& [data_centre, ids] : workers) {
+    std::vector<Share> shares;
+    for (const auto& [owners_centre, names] : owners) {
+      if (!data_centre.empty() && owners_centre != data_centre) continue;
+      for (const std::string& name : names) {
+        shares.push_back({name, Cores(view.instances_.at(name))});
+      }
+    }
+    Distribute(ids, view.owners_, std::move(shares), &assignment);
+  }
+  return assignment;
+}
+
+std::set<std::string> SelectLinks(const SelectedOwners& owners,
+                                  const std::string& self,
+                                  const std::string& data_centre) {
+  std::set<std::string> links;
+  for (const auto& [owners_centre, names] : owners) {
+    if (owners_centre == data_centre) {
+      links.insert(names.begin(), names.end());
+      continue;
+    }
+    std::vector<std::pair<uint64_t, std::string>> ranked;
+    for (const std::string& name : names) {
+      ranked.emplace_back(HashPair(self, name), name);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    for (size_t i = 0; i < std::min(kRemoteLinks, ranked.size()); ++i) {
+      links.insert(ranked[i].second);
+    }
+  }
+  links.erase(self);
+  return links;
+}
+
+}  // namespace gentiandeal
--- /dev/null
+++ b/src/owner_selection.h
@@ -0,0 +1,64 @@
+#ifndef GENTIANDEAL_SRC_OWNER_SELECTION_H_
+#define GENTIANDEAL_SRC_OWNER_SELECTION_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Which instances own leased workers, and which instances stay connected.
+/// Pure functions of what the store lists: instances with equal views get equal
+/// results, without talking to each other.
+namespace gentiandeal {
+
+/// Workers that one core of an instance's processor share can serve as owner,
+/// beside the callers that the instance serves.
+inline constexpr double kWorkersPerCore = 128;
+/// Fewest owners of a data centre with as many instances, so that the loss of
+/// one leaves another that already owns workers there.
+inline constexpr size_t kMinOwners = 2;
+/// Owners of each other data centre that an instance connects to.
+inline constexpr size_t kRemoteLinks = 2;
+
+/// A live instance that takes part in the selection.
+struct SelectableInstance {
+  std::string data_centre_;
+  int32_t cpu_milli_ = 0;  ///< Its processor share, in thousandths of a core.
+};
+
+/// Live instances, listed workers and present owners.
+struct OwnershipView {
+  std::map<std::string, SelectableInstance> instances_;  ///< By name.
+  std::map<std::string, std::string> workers_;           ///< Id to data centre.
+  std::map<std::string, std::string> owners_;  ///< Worker id to instance.
+};
+
+/// Names of owners by data centre, sorted.
+using SelectedOwners = std::map<std::string, std::vector<std::string>>;
+
+/// Selects as few owners in each data centre as can serve its workers, at least
+/// `kMinOwners`: a job's tasks find room at an owner of many workers when they
+/// find none at several owners of few, and the messages between instances grow
+/// with the number of owners. Instances with the largest processor share come
+/// first, and among equals those that own workers already.
+SelectedOwners SelectOwners(const OwnershipView& view);
+
+/// Distributes the workers of each data centre over its selected owners, in
+/// proportion to their processor shares and with as few moves as possible.
+/// Workers of data centres without an instance are distributed over all
+/// selected owners.
+/// @returns the assigned owner by worker id.
+std::map<std::string, std::string> AssignWorkers(const OwnershipView& view,
+                                                 const SelectedOwners& owners);
+
+/// Returns the names of the owners that an instance assigns tasks to: all of
+/// its data centre, and `kRemoteLinks` of each other one, which differ between
+/// instances so that the owners' sessions are spread.
+std::set<std::string> SelectLinks(const SelectedOwners& owners,
+                                  const std::string& self,
+                                  const std::string& data_centre);
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_OWNER_SELECTION_H_
--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -25,6 +25,7 @@
     record.name_.value_ = json.at("name").get<std::string>();
     record.incarnation_.value_ = json.at("incarnation").get<uint64_t>();
     record.data_centre_ = json.at("data_centre").get<std::string>();
+    record.cpu_milli_ = json.value("cpu_milli", int32_t{0});
     record.draining_ = json.at("draining").get<bool>();
     record.workers_ = json.at("workers").get<std::set<std::string>>();
     if (ParseAddress(json.at("peers").get<std::string>(),
@@ -44,86 +45,48 @@
   json["incarnation"] = record.incarnation_.value_;
   json["data_centre"] = record.data_centre_;
   json["peers"] = ToString(record.peer_address_);
+  json["cpu_milli"] = record.cpu_milli_;
   json["draining"] = record.draining_;
   json["workers"] = record.workers_;
   return json.dump();
 }
 
-std::map<std::string, std::string> AssignWorkers(const OwnershipView& view) {
-  std::map<std::string, std::vector<std::string>> workers;
-  std::map<std::string, std::vector<std::string>> instances;
-  std::map<std::string, size_t> count;
-  for (const auto& [name, data_centre] : view.instances_) {
-    instances[data_centre].push_back(name);
-    count[name] = 0;
-  }
-  for (const auto& [id, data_centre] : view.workers_) {
-    const bool served = instances.count(data_centre) > 0;
-    workers[served ? data_centre : std::string()].push_back(id);
-  }
-  std::map<std::string, std::string> assignment;
-  for (const auto& [data_centre, ids] : workers) {
-    std::vector<std::string> candidates;
-    if (data_centre.empty()) {
-      for (const auto& [name, unused] : view.instances_) {
-        candidates.push_back(name);
-      }
-    } else {
-      candidates = instances[data_centre];
-    }
-    if (candidates.empty()) continue;
-    std::map<std::string, size_t> share;
-    for (const std::string& name : candidates) share[name] = 0;
-    const size_t max_share =
-        (ids.size() + candidates.size() - 1) / candidates.size();
-    std::vector<std::string> unassigned;
-    for (const std::string& id : ids) {
-      const auto owner = view.owners_.find(id);
-      const auto keeper =
-          owner == view.owners_.end() ? share.end() : share.find(owner->second);
-      if (keeper == share.end() || keeper->second >= max_share) {
-        unassigned.push_back(id);
-        continue;
-      }
-      ++keeper->second;
-      assignment[id] = keeper->first;
-    }
-    for (const std::string& id : unassigned) {
-      const auto smallest = std::min_element(
-          share.begin(), share.end(),
-          [](const auto& a, const auto& b) { return a.second < b.second; });
-      ++smallest->second;
-      assignment[id] = smallest->first;
-    }
-  }
-  return assignment;
-}
-
 void WorkerOwnership::InstanceListed(const InstanceRecord& record) {
   if (record.name_ == self_.name_) return;
   Peer& peer = peers_[record.name_.value_];
   peer.record_ = record;
   peer.listed_ = true;
+  view_changed_ = true;
 }
 
 void WorkerOwnership::InstanceUnlisted(const InstanceName& name) {
   const auto found = peers_.find(name.value_);
   if (found == peers_.end()) return;
   found->second.listed_ = false;
-  if (!found->second.reachable_) peers_.erase(found);
+  if (found->second.reachable_) return;
+  peers_.erase(found);
+  view_changed_ = true;
 }
 
 void WorkerOwnership::SetReachable(const InstanceName& name, bool reachable) {
   const auto found = peers_.find(name.value_);
   if (found == peers_.end()) return;
   found->second.reachable_ = reachable;
-  if (!reachable && !found->second.listed_) peers_.erase(found);
+  if (reachable || found->second.listed_) return;
+  peers_.erase(found);
+  view_changed_ = true;
 }
 
 void WorkerOwnership::WorkerListed(const LeasedWorker& worker, Time /*now*/,
                                    OwnershipOutbox* out) {
-  listed_[worker.id_.value_] = worker;
+  LeasedWorkerRef& listed = listed_[worker.id_.value_];
+  view_changed_ = view_changed_ || listed == nullptr ||
+                  listed->data_centre_ != worker.data_centre_ ||
+                  unlisted_.count(worker.id_.value_) > 0;
   unlisted_.erase(worker.id_.value_);
+  if (listed == nullptr || *listed != worker) {
+    listed = std::make_shared<const LeasedWorker>(worker);
+  }
   if (owned_.count(worker.id_.value_) > 0) out->push_back(UpdateWorker{worker});
 }
 
@@ -137,29 +100,32 @@
     const auto listed = listed_.find(id);
     if (owned_.count(id) > 0 || listed == listed_.end()) continue;
     owned_.insert(id);
-    out->push_back(AcquireWorker{listed->second, fence});
+    out->push_back(AcquireWorker{*listed->second, fence});
   }
 }
 
 void WorkerOwnership::OwnershipLost(const WorkerId& worker) {
   owned_.erase(worker.value_);
   draining_workers_.erase(worker.value_);
-  record_changed_ = self_.workers_.erase(worker.value_) > 0 || record_changed_;
+  if (self_.workers_.erase(worker.value_) == 0) return;
+  record_changed_ = view_changed_ = true;
 }
 
 void WorkerOwnership::Drain() {
   self_.draining_ = true;
-  record_changed_ = true;
+  record_changed_ = view_changed_ = true;
 }
 
 OwnershipView WorkerOwnership::BuildView() const {
   OwnershipView view;
   if (!self_.draining_) {
-    view.instances_[self_.name_.value_] = self_.data_centre_;
+    view.instances_[self_.name_.value_] = {self_.data_centre_,
+                                           self_.cpu_milli_};
   }
   for (const auto& [name, peer] : peers_) {
     if (!peer.record_.draining_) {
-      view.instances_[name] = peer.record_.data_centre_;
+      view.instances_[name] = {peer.record_.data_centre_,
+                               peer.record_.cpu_milli_};
     }
     for (const std::string& id : peer.record_.workers_) {
       view.owners_[id] = name;
@@ -169,7 +135,7 @@
     view.owners_[id] = self_.name_.value_;
   }
   for (const auto& [id, worker] : listed_) {
-    view.workers_[id] = worker.data_centre_;
+    view.workers_[id] = worker->data_centre_;
   }
   return view;
 }
@@ -192,6 +158,7 @@
     if (owned_.count(id) > 0) out->push_back(ReleaseWorker{{id}});
     OwnershipLost({id});
     listed_.erase(id);
+    view_changed_ = true;
     entry = unlisted_.erase(entry);
   }
 }
@@ -200,29 +167,50 @@
                            const std::function<bool(const WorkerId&)>& idle,
                            OwnershipOutbox* out) {
   RemoveUnlistedWorkers(now, idle, out);
+  UpdatePlan();
   if (!store_up_ && !self_.draining_) return;
-  const OwnershipView view = BuildView();
-  const auto assignment = AssignWorkers(view);
-  for (const auto& [id, worker] : listed_) {
-    const auto assigned = assignment.find(id);
-    const bool has_owner = assigned != assignment.end();
-    const bool assigned_here =
-        has_owner && assigned->second == self_.name_.value_;
-    if (owned_.count(id) > 0) {
-      if (self_.draining_ || (has_owner && !assigned_here)) {
-        DrainAndRelease({id}, idle, out);
-      }
-    } else if (assigned_here && now >= claim_from_ &&
-               view.owners_.count(id) == 0 && unlisted_.count(id) == 0) {
-      record_changed_ = self_.workers_.insert(id).second || record_changed_;
-    }
-  }
+  ApplyPlan(now, idle, out);
   if (!record_changed_ || write_pending_ || !store_up_) return;
   record_changed_ = false;
   write_pending_ = true;
   out->push_back(PublishRecord{self_});
 }
 
+void WorkerOwnership::UpdatePlan() {
+  if (!view_changed_) return;
+  view_changed_ = false;
+  claims_due_ = true;
+  ++plan_version_;
+  view_ = BuildView();
+  selected_ = SelectOwners(view_);
+  assignment_ = AssignWorkers(view_, selected_);
+  links_ = SelectLinks(selected_, self_.name_.value_, self_.data_centre_);
+}
+
+void WorkerOwnership::ApplyPlan(
+    Time now, const std::function<bool(const WorkerId&)>& idle,
+    OwnershipOutbox* out) {
+  std::vector<WorkerId> drained;
+  for (const std::string& id : owned_) {
+    const auto assigned = assignment_.find(id);
+    if (self_.draining_ || (assigned != assignment_.end() &&
+                            assigned->second != self_.name_.value_)) {
+      drained.push_back({id});
+    }
+  }
+  for (const WorkerId& worker : drained) DrainAndRelease(worker, idle, out);
+  if (!claims_due_ || now < claim_from_ || self_.draining_) return;
+  claims_due_ = false;
+  const std::string& self = self_.name_.value_;
+  for (const auto& [id, owner] : assignment_) {
+    if (owner != self || view_.owners_.count(id) > 0 || owned_.count(id) > 0 ||
+        unlisted_.count(id) > 0 || !self_.workers_.insert(id).second) {
+      continue;
+    }
+    record_changed_ = view_changed_ = true;
+  }
+}
+
 void WorkerOwnership::DrainAndRelease(
     const WorkerId& worker, const std::function<bool(const WorkerId&)>& idle,
     OwnershipOutbox* out) {
@@ -234,10 +222,18 @@
   OwnershipLost(worker);
 }
 
-std::vector<InstanceRecord> WorkerOwnership::Peers() const {
-  std::vector<InstanceRecord> peers;
-  for (const auto& [name, peer] : peers_) peers.push_back(peer.record_);
-  return peers;
+std::vector<InstanceRecord> WorkerOwnership::LinkTargets(
+    const std::function<bool(const InstanceName&)>& awaited) const {
+  std::vector<InstanceRecord> targets;
+  for (const auto& [name, peer] : peers_) {
+    const InstanceRecord& record = peer.record_;
+    const bool near_owner =
+        record.data_centre_ == self_.data_centre_ && !record.workers_.empty();
+    if (links_.count(name) > 0 || near_owner || awaited({name})) {
+      targets.push_back(record);
+    }
+  }
+  return targets;
 }
 
 }  // namespace gentiandeal
--- a/src/worker_ownership.h
+++ b/src/worker_ownership.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "leased_worker.h"
+#include "owner_selection.h"
 
 /// Decides which instance owns which leased worker. Performs no I/O and reads
 /// no clock. Each instance publishes one record with the workers that it owns.
@@ -19,6 +20,8 @@
   Incarnation incarnation_;
   std::string data_centre_;
   Address peer_address_;  ///< Where other instances connect.
+  /// Processor share, in thousandths of a core; 0 when unknown.
+  int32_t cpu_milli_ = 0;
   bool draining_ = false;
   std::set<std::string> workers_;  ///< Ids of owned and claimed workers.
 };
@@ -27,20 +30,6 @@
 bool ParseInstanceRecord(std::string_view text, InstanceRecord* out);
 std::string ToJson(const InstanceRecord& record);
 
-/// Live instances, listed workers and present owners: input of `AssignWorkers`.
-struct OwnershipView {
-  std::map<std::string, std::string> instances_;  ///< Name to data centre.
-  std::map<std::string, std::string> workers_;    ///< Id to data centre.
-  std::map<std::string, std::string> owners_;     ///< Worker id to instance.
-};
-
-/// Distributes the workers of each data centre evenly over its instances with
-/// as few moves as possible. Workers of data centres without an instance are
-/// distributed over all instances.
-/// @returns the assigned owner by worker id. Deterministic: instances with
-/// equal views get equal results.
-std::map<std::string, std::string> AssignWorkers(const OwnershipView& view);
-
 /// Writes a record to the store, replacing the previous one.
 struct PublishRecord {
   InstanceRecord record_;
@@ -109,9 +98,17 @@
   void Tick(Time now, const std::function<bool(const WorkerId&)>& idle,
             OwnershipOutbox* out);
 
-  /// Other instances that are listed or reachable.
-  std::vector<InstanceRecord> Peers() const;
-  const std::map<std::string, LeasedWorker>& workers() const { return listed_; }
+  /// Returns the other instances to be connected to: the owners that this
+  /// instance assigns tasks to, those that still own workers of its data
+  /// centre, and others while it waits for tasks there.
+  /// @param awaited Returns whether tasks assigned to an instance are open.
+  std::vector<InstanceRecord> LinkTargets(
+      const std::function<bool(const InstanceName&)>& awaited) const;
+  /// Increases whenever `LinkTargets` may have changed, but for `awaited`.
+  uint64_t plan_version() const { return plan_version_; }
+  const std::map<std::string, LeasedWorkerRef>& workers() const {
+    return listed_;
+  }
   size_t owned() const { return owned_.size(); }
 
  private:
@@ -122,6 +119,12 @@
   };
 
   OwnershipView BuildView() const;
+  /// Selects owners and assigns workers again, if anything they depend on has
+  /// changed.
+  void UpdatePlan();
+  /// Claims and drains workers as assigned.
+  void ApplyPlan(Time now, const std::function<bool(const WorkerId&)>& idle,
+                 OwnershipOutbox* out);
   /// Drains a worker and releases it once it is idle.
   void DrainAndRelease(const WorkerId& worker,
                        const std::function<bool(const WorkerId&)>& idle,
@@ -140,7 +143,14 @@
   std::set<std::string> draining_workers_;
   std::map<std::string, Time> unlisted_;  // with the time it was unlisted
   std::map<std::string, Peer> peers_;
-  std::map<std::string, LeasedWorker> listed_;
+  std::map<std::string, LeasedWorkerRef> listed_;
+  bool view_changed_ = true;  // since the plan was made
+  bool claims_due_ = true;    // the plan may have workers to claim
+  uint64_t plan_version_ = 0;
+  OwnershipView view_;                             // that the plan is made for
+  SelectedOwners selected_;                        // the plan: owners,
+  std::map<std::string, std::string> assignment_;  // owners by worker id,
+  std::set<std::string> links_;                    // and names to connect to
 };
 
 }  // namespace gentiandeal
