Don't carry out orders of an earlier life in the random schedule

The users' protocol says that a worker that starts again knows nothing of before, and a call that was given up ends with its connection, which no later process inherits (http_client/ACallThatWasGivenUpReachesNoLaterProcess). No fence could refuse such an order either: the new life has seen none. Orders sent up to the call timeout before the new life, or later, are still carried out there.

--- /dev/null
+++ b/tests/unit/http_client_test.cc
@@ -0,0 +1,76 @@
+#include "http_client.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "event_base.h"
+
+namespace gentiandeal {
+namespace {
+
+constexpr Duration kCallTimeout{100};
+/// A connection request that wasn't answered is repeated by the kernel after
+/// one second.
+constexpr timeval kAfterRepeats{1, 500 * 1000};
+
+/// Listens on loopback without accepting, as a process that stands still.
+class StandingListener {
+ public:
+  explicit StandingListener(uint16_t port)
+      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    const int on = 1;
+    setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    BOOST_REQUIRE(bind(socket_, generic, sizeof address) == 0);
+    BOOST_REQUIRE(listen(socket_, 16) == 0);
+    socklen_t size = sizeof address;
+    getsockname(socket_, generic, &size);
+    port_ = ntohs(address.sin_port);
+  }
+  ~StandingListener() { close(socket_); }
+  uint16_t port() const { return port_; }
+  bool HasConnection() const {
+    const int accepted = accept(socket_, nullptr, nullptr);
+    if (accepted >= 0) close(accepted);
+    return accepted >= 0;
+  }
+
+ private:
+  int socket_;
+  uint16_t port_ = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(http_client)
+
+// An owner starts a task elsewhere once its start was given up, so a worker
+// process that is restarted at the same address must not receive it.
+BOOST_AUTO_TEST_CASE(ACallThatWasGivenUpReachesNoLaterProcess) {
+  const EventBase base(event_base_new());
+  std::optional<HttpResponse> answer;
+  auto earlier = std::make_unique<StandingListener>(0);
+  const uint16_t port = earlier->port();
+  HttpClient client(base.get());
+  client.Send({"127.0.0.1", port}, {"POST", "/start", {}, "body"}, kCallTimeout,
+              [&](const HttpResponse& response) { answer = response; });
+  while (!answer) event_base_loop(base.get(), EVLOOP_ONCE);
+  BOOST_TEST(!answer->complete_);
+  earlier.reset();
+  const StandingListener later(port);
+  event_base_loopexit(base.get(), &kAfterRepeats);
+  event_base_dispatch(base.get());
+  BOOST_TEST(!later.HasConnection());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace gentiandeal
