--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -202,6 +202,28 @@
     caller_.RunUntil([] { return false; }, time);
   }
 
+  /// Sends a job whose caller vanishes behind a middlebox, and sends it again
+  /// elsewhere as callers do, until it is complete.
+  void SendAgainAfterASilentLoss(const Address& first, const Address& second) {
+    Proxy proxy;
+    Address through;
+    const size_t pair = proxy.Add(first, &through);
+    const HttpRequest job = Job(6, kLongRunMs + 600);
+    const size_t lost = caller_.Send(through, job, kCallerWaits);
+    caller_.RunUntil([] { return false; }, Duration{200});
+    proxy.SetFaults(pair, "mode=blackhole");
+    caller_.GiveUp(lost);
+    int status = 0;
+    for (int attempt = 0; attempt < 3 && status != 200; ++attempt) {
+      caller_.RunUntil([] { return false; }, kResendAfter);
+      const size_t sent = caller_.Send(second, job, kCallerWaits);
+      caller_.RunUntil([&] { return caller_.Answered(sent); }, kPatience);
+      status = caller_.Answer(sent).status_;
+    }
+    BOOST_TEST(status == 200);
+    CheckRules();
+  }
+
   /// Has `caller` send a job that runs for long to instance `a_`.
   void StartLongRun(RawCaller* caller) {
     BOOST_REQUIRE(WaitUntil([&] { return Report()["running"] == 0; }));
@@ -346,23 +368,17 @@
 // Guards against two runs of a task after a loss that only the caller notices:
 // its instance keeps an open connection, and the job is sent to another one.
 BOOST_AUTO_TEST_CASE(AJobWhoseCallerVanishedRunsOnceAtATime) {
-  Proxy proxy;
-  Address through;
-  const size_t pair = proxy.Add(a_.callers(), &through);
-  const HttpRequest job = Job(6, kLongRunMs + 600);
-  const size_t lost = caller_.Send(through, job, kCallerWaits);
-  caller_.RunUntil([] { return false; }, Duration{200});
-  proxy.SetFaults(pair, "mode=blackhole");
-  caller_.GiveUp(lost);
-  int status = 0;
-  for (int attempt = 0; attempt < 3 && status != 200; ++attempt) {
-    caller_.RunUntil([] { return false; }, kResendAfter);
-    const size_t sent = caller_.Send(b_.callers(), job, kCallerWaits);
-    caller_.RunUntil([&] { return caller_.Answered(sent); }, kPatience);
-    status = caller_.Answer(sent).status_;
-  }
-  BOOST_TEST(status == 200);
-  CheckRules();
+  SendAgainAfterASilentLoss(a_.callers(), b_.callers());
+}
+
+// The same where neither of the two owns workers, so that they aren't
+// connected: the owners relay what is open where, and the recall.
+BOOST_AUTO_TEST_CASE(AJobIsRecalledFromAnInstanceThatIsNotConnected) {
+  const HostedInstanceProcess c(folder_, "entry-c", platform_.At("store"));
+  const HostedInstanceProcess d(folder_, "entry-d", platform_.At("store"));
+  BOOST_REQUIRE(WaitUntil([&] { return c.Ready() && d.Ready(); }));
+  Wait(Duration{1500});
+  SendAgainAfterASilentLoss(c.callers(), d.callers());
 }
 
 // Orders without an answer that are carried out seconds later.
--- /dev/null
+++ b/tests/unit/open_jobs_relay_test.cc
@@ -0,0 +1,70 @@
+#include "open_jobs_relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "load_report_interval.h"
+
+namespace gentiandeal {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(open_jobs_relay)
+
+BOOST_AUTO_TEST_CASE(PassesOnTheNewestListOfEachCoordinator) {
+  OpenJobsRelay relay;
+  relay.On({{"a"}, {"1"}});
+  relay.On({{"b"}, {"2"}});
+  relay.On({{"a"}, {"1", "3"}});
+  const MeshOpenJobs jobs = relay.Take();
+  BOOST_REQUIRE(jobs.lists_.size() == 2U);
+  BOOST_TEST(jobs.lists_[0].coordinator_.value_ == "a");
+  BOOST_TEST(jobs.lists_[0].ids_.size() == 2U);
+}
+
+// Guards against a job that looks open for as long as its lost coordinator's
+// last list is repeated.
+BOOST_AUTO_TEST_CASE(RepeatsNoList) {
+  OpenJobsRelay relay;
+  relay.On({{"a"}, {"1"}});
+  relay.Take();
+  BOOST_TEST(relay.Take().lists_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(PassesOnAnEmptyList) {
+  OpenJobsRelay relay;
+  relay.On({{"a"}, {}});
+  BOOST_TEST(relay.Take().lists_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsWhatDoesNotFitIntoOneMessage) {
+  OpenJobsRelay relay;
+  for (uint32_t i = 0; i <= config::kMaxListsPerReport; ++i) {
+    relay.On({{std::to_string(i)}, {}});
+  }
+  BOOST_TEST(relay.Take().lists_.size() == config::kMaxListsPerReport);
+  BOOST_TEST(relay.Take().lists_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(load_report_interval)
+
+// Whatever the size of the fleet, an owner's reports cost it the same.
+BOOST_AUTO_TEST_CASE(ReportsASecondStayWithinTheirLimit) {
+  for (const size_t sessions : {1, 7, 16, 43, 146, 1000}) {
+    const double interval_s =
+        static_cast<double>(LoadReportInterval(sessions, true).ms_) / 1000;
+    const double each_s = static_cast<double>(sessions) / interval_s;
+    BOOST_TEST(each_s <= kLoadReportsPerSecond * 1.05);
+    BOOST_TEST((LoadReportInterval(sessions, false) >
+                LoadReportInterval(sessions, true)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SmallFleetsAreToldAtTheShortestInterval) {
+  BOOST_TEST((LoadReportInterval(7, true) == kMinLoadReportInterval));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace gentiandeal
