--- a/src/owner_selection.cc
+++ b/src/owner_selection.cc
@@ -106,24 +106,30 @@
   return owners;
 }
 
-std::map<std::string, std::string> AssignWorkers(const OwnershipView& view,
-                                                 const SelectedOwners& owners) {
-  std::map<std::string, std::vector<std::string>> workers;
-  for (const auto& [id, data_centre] : view.workers_) {
-    const bool served = owners.count(data_centre) > 0;
-    workers[served ? data_centre : std::string()].push_back(id);
+std::map<std::string, std::string> AssignWorkers(
+    const OwnershipView& view, const SelectedOwners& owners,
+    const std::string& data_centre) {
+  std::vector<std::string> near;
+  std::vector<std::string> unserved;
+  for (const auto& [id, workers_centre] : view.workers_) {
+    if (owners.count(workers_centre) == 0) {
+      unserved.push_back(id);
+    } else if (workers_centre == data_centre) {
+      near.push_back(id);
+    }
   }
-  std::map<std::string, std::string> assignment;
-  for (const auto& [data_centre, ids] : workers) {
-    std::vector<Share> shares;
-    for (const auto& [owners_centre, names] : owners) {
-      if (!data_centre.empty() && owners_centre != data_centre) continue;
-      for (const std::string& name : names) {
-        shares.push_back({name, Cores(view.instances_.at(name))});
-      }
+  std::vector<Share> near_shares;
+  std::vector<Share> all_shares;
+  for (const auto& [owners_centre, names] : owners) {
+    for (const std::string& name : names) {
+      const Share share{name, Cores(view.instances_.at(name))};
+      all_shares.push_back(share);
+      if (owners_centre == data_centre) near_shares.push_back(share);
     }
-    Distribute(ids, view.owners_, std::move(shares), &assignment);
   }
+  std::map<std::string, std::string> assignment;
+  Distribute(near, view.owners_, std::move(near_shares), &assignment);
+  Distribute(unserved, view.owners_, std::move(all_shares), &assignment);
   return assignment;
 }
 
--- a/src/owner_selection.h
+++ b/src/owner_selection.h
@@ -44,13 +44,16 @@
 /// first, and among equals those that own workers already.
 SelectedOwners SelectOwners(const OwnershipView& view);
 
-/// Distributes the workers of each data centre over its selected owners, in
+/// Distributes the workers of a data centre over its selected owners, in
 /// proportion to their processor shares and with as few moves as possible.
 /// Workers of data centres without an instance are distributed over all
 /// selected owners.
+/// @param data_centre That of the workers to assign, beside those of data
+///     centres without an instance.
 /// @returns the assigned owner by worker id.
-std::map<std::string, std::string> AssignWorkers(const OwnershipView& view,
-                                                 const SelectedOwners& owners);
+std::map<std::string, std::string> AssignWorkers(
+    const OwnershipView& view, const SelectedOwners& owners,
+    const std::string& data_centre);
 
 /// Returns the names of the owners that an instance assigns tasks to: all of
 /// its data centre, and `kRemoteLinks` of each other one, which differ between
--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -14,6 +14,9 @@
 constexpr Duration kUnlistedGrace{2200};
 /// A worker unlisted for longer than this is released even if it has runs left.
 constexpr Duration kUnlistedLimit{4500};
+/// Workers and instances that plans may go through in a second. While many
+/// instances start or stop, each change of their records would cause a plan.
+constexpr int64_t kPlannedEntriesPerSecond = 10000;
 
 }  // namespace
 
@@ -53,10 +56,11 @@
 
 void WorkerOwnership::InstanceListed(const InstanceRecord& record) {
   if (record.name_ == self_.name_) return;
-  Peer& peer = peers_[record.name_.value_];
+  const auto [found, added] = peers_.try_emplace(record.name_.value_);
+  Peer& peer = found->second;
+  view_changed_ = view_changed_ || added || peer.record_ != record;
   peer.record_ = record;
   peer.listed_ = true;
-  view_changed_ = true;
 }
 
 void WorkerOwnership::InstanceUnlisted(const InstanceName& name) {
@@ -167,7 +171,7 @@
                            const std::function<bool(const WorkerId&)>& idle,
                            OwnershipOutbox* out) {
   RemoveUnlistedWorkers(now, idle, out);
-  UpdatePlan();
+  UpdatePlan(now);
   if (!store_up_ && !self_.draining_) return;
   ApplyPlan(now, idle, out);
   if (!record_changed_ || write_pending_ || !store_up_) return;
@@ -176,14 +180,17 @@
   out->push_back(PublishRecord{self_});
 }
 
-void WorkerOwnership::UpdatePlan() {
-  if (!view_changed_) return;
+void WorkerOwnership::UpdatePlan(Time now) {
+  const auto entries = static_cast<int64_t>(listed_.size() + peers_.size());
+  const Duration interval{entries * 1000 / kPlannedEntriesPerSecond};
+  if (!view_changed_ || now - planned_at_ < interval) return;
   view_changed_ = false;
+  planned_at_ = now;
   claims_due_ = true;
   ++plan_version_;
   view_ = BuildView();
   selected_ = SelectOwners(view_);
-  assignment_ = AssignWorkers(view_, selected_);
+  assignment_ = AssignWorkers(view_, selected_, self_.data_centre_);
   links_ = SelectLinks(selected_, self_.name_.value_, self_.data_centre_);
 }
 
@@ -207,7 +214,8 @@
         unlisted_.count(id) > 0 || !self_.workers_.insert(id).second) {
       continue;
     }
-    record_changed_ = view_changed_ = true;
+    record_changed_ = true;
+    view_.owners_[id] = self;
   }
 }
 
--- a/src/worker_ownership.h
+++ b/src/worker_ownership.h
@@ -24,6 +24,8 @@
   int32_t cpu_milli_ = 0;
   bool draining_ = false;
   std::set<std::string> workers_;  ///< Ids of owned and claimed workers.
+  friend bool operator==(const InstanceRecord&,
+                         const InstanceRecord&) = default;
 };
 
 /// Parses a record. @returns false if it is malformed; `out` is unchanged then.
@@ -121,7 +123,7 @@
   OwnershipView BuildView() const;
   /// Selects owners and assigns workers again, if anything they depend on has
   /// changed.
-  void UpdatePlan();
+  void UpdatePlan(Time now);
   /// Claims and drains workers as assigned.
   void ApplyPlan(Time now, const std::function<bool(const WorkerId&)>& idle,
                  OwnershipOutbox* out);
@@ -146,6 +148,7 @@
   std::map<std::string, LeasedWorkerRef> listed_;
   bool view_changed_ = true;  // since the plan was made
   bool claims_due_ = true;    // the plan may have workers to claim
+  Time planned_at_;
   uint64_t plan_version_ = 0;
   OwnershipView view_;                             // that the plan is made for
   SelectedOwners selected_;                        // the plan: owners,
--- a/tests/unit/worker_ownership_test.cc
+++ b/tests/unit/worker_ownership_test.cc
@@ -162,6 +162,24 @@
   BOOST_TEST(ownership_.plan_version() > version);
 }
 
+// Guards against a plan of all workers for each record that changes while a
+// large fleet starts or restarts.
+BOOST_AUTO_TEST_CASE(PlansOfALargeFleetAreSpacedOut) {
+  for (int i = 0; i < 2000; ++i) {
+    ownership_.WorkerListed(Worker("m" + std::to_string(i), "east"), now_,
+                            &out_);
+  }
+  Tick();
+  const uint64_t version = ownership_.plan_version();
+  for (int i = 0; i < 50; ++i) {
+    ownership_.InstanceListed(Record("a" + std::to_string(i), "west"));
+    Tick();
+  }
+  const uint64_t plans = ownership_.plan_version() - version;
+  BOOST_TEST(plans >= 3U);
+  BOOST_TEST(plans <= 6U);
+}
+
 // Its entry may have expired in a store outage and come back with the store.
 BOOST_AUTO_TEST_CASE(KeepsAnUnlistedWorkerForAGracePeriod) {
   ClaimAndStore(41);
