Log when the platform lists more than an instance can use

serve keeps 1,024 workers of its data centre and 64 instances, and left out the rest without a word. It now logs an error when a list starts to exceed that, and when it no longer does. The limits themselves stand: load reports of more workers don't fit a datagram. By reading; no case lists that many.

--- a/src/cluster.cc
+++ b/src/cluster.cc
@@ -187,6 +187,8 @@
         peers.push_back(
             {service.peer_address_, service.data_centre_, service.leaving_});
       }
+      LogIfOverLimit("instances", peers.size(), config::kMaxPeers,
+                     &instances_over_);
       membership_->SetListedPeers(peers, now);
     }
     SyncOutbox out;
@@ -213,10 +215,27 @@
           listed.workers_ = ToWorkers(services, init_.data_centre_,
                                       settings_->service_.worker_slots_,
                                       settings_->service_.worker_connections_);
+          LogIfOverLimit("workers of this data centre", listed.workers_.size(),
+                         config::kMaxWorkers, &workers_over_);
           ApplyWorkers(std::move(listed));
         });
   }
 
+  /// Logs when a list starts or ceases to exceed what this build can use.
+  static void LogIfOverLimit(const char* what, size_t listed, size_t limit,
+                             bool* over) {
+    const bool was_over = *over;
+    *over = listed > limit;
+    if (*over && !was_over) {
+      spdlog::error(
+          "platform: lists {} {}, of which {} are used: split the data centre, "
+          "or use `gentiandeal hosted`",
+          listed, what, limit);
+    } else if (!*over && was_over) {
+      spdlog::info("platform: lists {} {}, all are used again", listed, what);
+    }
+  }
+
   void LogPlatformState(std::error_code error) {
     const bool up = !error;
     if (up == platform_reachable_) return;
@@ -369,6 +388,8 @@
   int64_t listed_workers_ = 0;
   bool listing_instances_ = false;
   bool listing_workers_ = false;
+  bool instances_over_ = false;  // the list exceeds the limit
+  bool workers_over_ = false;
   bool platform_reachable_ = true;
 };
 
