Spend fewer system calls on connections and log lines

Evidence: perf trace of one instance of four under the soak's load, 6 s, 16,700 system calls of its main thread: 7,227 epoll_ctl, 1,828 setsockopt; the log thread 2,268 more, four and a context switch for each line.

A killed process loses up to 100 ms of its log, where the queue of the thread lost less.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -7,6 +7,7 @@
 
 #include <random>
 
+#include "buffered_log.h"
 #include "event_base.h"
 #include "hosted_metrics.h"
 #include "job_coordinator.h"
@@ -138,6 +139,8 @@
   /// Interval between reports of the jobs that have been open for long.
   static constexpr Duration kOpenJobsInterval{100};
 
+  static constexpr Duration kLogFlushInterval{100};
+
   static Incarnation NewIncarnation() {
     std::random_device device;
     const uint64_t word = (static_cast<uint64_t>(device()) << 32) | device();
@@ -530,6 +533,10 @@
     mesh_.ShareLoad(scheduler_.load_version(), now,
                     [this, now] { return scheduler_.load(now); });
     BroadcastOpenJobs(now);
+    if (now - log_flushed_at_ >= kLogFlushInterval) {
+      log_flushed_at_ = now;
+      FlushLog();
+    }
     if (draining_) ContinueDrain(now);
   }
 
@@ -626,6 +633,7 @@
   Time drain_started_;
   Time links_refreshed_at_;
   Time open_jobs_shared_at_;
+  Time log_flushed_at_;
   bool shared_open_jobs_ = false;
   uint64_t own_load_version_ = 0;
   uint64_t linked_plan_ = 0;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -64,6 +64,10 @@
           static_cast<suseconds_t>(duration.ms_ % 1000 * 1000)};
 }
 
+evutil_socket_t Descriptor(evhttp_connection* connection) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+}
+
 bool CanReuseConnection(const HttpResponse& response) {
   const std::string connection = response.Field("Connection");
   return response.complete_ && strcasecmp(connection.c_str(), "close") != 0;
@@ -111,6 +115,7 @@
   const ExchangeId id = next_id_++;
   Exchange& exchange = exchanges_[id];
   exchange = {this, id, to, TakeConnection(to), nullptr, std::move(done)};
+  exchange.connects_ = Descriptor(exchange.connection_) < 0;
   exchange.request_ = evhttp_request_new(&HttpClient::OnDone, &exchange);
   FillRequest(to, request, exchange.request_);
   const timeval wait = ToTimeval(timeout);
@@ -148,8 +153,7 @@
     evhttp_connection_set_timeout_tv(exchange->connection_, &kIdleTimeout);
     // Sets TCP_NODELAY among others, so that later requests do not wait for the
     // acknowledgement of this one.
-    SetTcpOptions(bufferevent_getfd(
-        evhttp_connection_get_bufferevent(exchange->connection_)));
+    if (exchange->connects_) SetTcpOptions(Descriptor(exchange->connection_));
     self->idle_[exchange->to_].push_back(exchange->connection_);
   } else {
     self->FreeLater(exchange->connection_);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -72,6 +72,7 @@
     evhttp_connection* connection_ = nullptr;
     evhttp_request* request_ = nullptr;
     Done done_;
+    bool connects_ = false;  ///< Its connection wasn't open before.
   };
 
   static void OnDone(evhttp_request* request, void* arg);
