Claim no worker by a plan from before the view changed

An instance that starts plans first from the workers alone, as their only owner; when the list of instances and the store's first answer came within the pause between two plans, it claimed every worker.

worker_ownership/ClaimsNothingByAPlanFromBeforeTheViewChanged failed before. Fleets of fewer than 200 workers and instances plan on each tick and were not concerned.

--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -197,6 +197,8 @@
 void WorkerOwnership::ApplyPlan(
     Time now, const std::function<bool(const WorkerId&)>& idle,
     OwnershipOutbox* out) {
+  // A plan from before the view changed may take workers that have an owner.
+  const bool plan_is_current = !view_changed_;
   std::vector<WorkerId> drained;
   for (const std::string& id : owned_) {
     const auto assigned = assignment_.find(id);
@@ -206,7 +208,10 @@
     }
   }
   for (const WorkerId& worker : drained) DrainAndRelease(worker, idle, out);
-  if (!claims_due_ || now < claim_from_ || self_.draining_) return;
+  if (!claims_due_ || !plan_is_current || now < claim_from_ ||
+      self_.draining_) {
+    return;
+  }
   claims_due_ = false;
   const std::string& self = self_.name_.value_;
   for (const auto& [id, owner] : assignment_) {
--- a/tests/unit/worker_ownership_test.cc
+++ b/tests/unit/worker_ownership_test.cc
@@ -180,6 +180,27 @@
   BOOST_TEST(plans <= 6U);
 }
 
+// Guards against an instance that starts, plans from the workers alone and then
+// claims the whole fleet when the list of instances has just arrived.
+BOOST_AUTO_TEST_CASE(ClaimsNothingByAPlanFromBeforeTheViewChanged) {
+  ownership_.SetStoreUp(false);
+  for (int i = 0; i < 2000; ++i) {
+    ownership_.WorkerListed(Worker("m" + std::to_string(i), "west"), now_,
+                            &out_);
+  }
+  Tick(600);
+  InstanceRecord owner = Record("a", "west");
+  for (const auto& [id, worker] : ownership_.workers()) {
+    owner.workers_.insert(id);
+  }
+  ownership_.InstanceListed(owner);
+  ownership_.SetStoreUp(true);
+  for (int i = 0; i < 20; ++i) Tick();
+  for (const PublishRecord& published : TakeCommands<PublishRecord>()) {
+    BOOST_TEST(published.record_.workers_.empty());
+  }
+}
+
 // Its entry may have expired in a store outage and come back with the store.
 BOOST_AUTO_TEST_CASE(KeepsAnUnlistedWorkerForAGracePeriod) {
   ClaimAndStore(41);
