Count the bytes of links and calls by purpose

One counter for all bytes between instances, and none for calls to workers and to the store, couldn't tell a link that is full from a process that is slow. Now by kind of frame, and by the side that is called.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -58,6 +58,7 @@
   {backend.RemoveRecord(done)};
   {backend.Tick(now)};
   { backend.configured() } -> std::same_as<bool>;
+  { backend.traffic() } -> std::same_as<BackendTraffic>;
 };
 
 /// Configuration of one hosted instance.
@@ -595,7 +596,7 @@
 
   std::string MetricsText() const {
     return metrics_.ToText(coordinator_.stats(), scheduler_.stats(),
-                           mesh_.stats(),
+                           mesh_.stats(), backend_->traffic(),
                            {coordinator_.open_jobs(), ownership_.owned(),
                             connected_owners_.size(), draining_});
   }
--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -7,16 +7,44 @@
 
 using Families = std::vector<prometheus::MetricFamily>;
 
-void Add(Families* out, const char* name, double value, bool gauge = false) {
+prometheus::MetricFamily& AddFamily(Families* out, const char* name,
+                                    bool gauge = false) {
   prometheus::MetricFamily& family = out->emplace_back();
   family.name = std::string("gentiandeal_") + name + (gauge ? "" : "_total");
   family.help = "See docs/OPERATIONS.md.";
   family.type =
       gauge ? prometheus::MetricType::Gauge : prometheus::MetricType::Counter;
-  prometheus::ClientMetric& metric = family.metric.emplace_back();
+  return family;
+}
+
+void Add(Families* out, const char* name, double value, bool gauge = false) {
+  prometheus::ClientMetric& metric =
+      AddFamily(out, name, gauge).metric.emplace_back();
   (gauge ? metric.gauge.value : metric.counter.value) = value;
 }
 
+/// Value of a counter for one value of its label.
+using Labelled = std::pair<std::string_view, uint64_t>;
+
+void AddLabelled(Families* out, const char* name, const char* label,
+                 const std::vector<Labelled>& values) {
+  prometheus::MetricFamily& family = AddFamily(out, name);
+  for (const auto& [text, value] : values) {
+    prometheus::ClientMetric& metric = family.metric.emplace_back();
+    metric.label = {{label, std::string(text)}};
+    metric.counter.value = static_cast<double>(value);
+  }
+}
+
+std::vector<Labelled> ByFrame(
+    const std::array<uint64_t, kMeshFrameKinds>& values) {
+  std::vector<Labelled> labelled;
+  for (size_t i = 0; i < kMeshFrameKinds; ++i) {
+    labelled.emplace_back(kMeshFrameNames[i], values[i]);
+  }
+  return labelled;
+}
+
 /// Upper bounds in seconds. Latency objectives lie between 0.1 and 2.
 const prometheus::Histogram::BucketBoundaries kJobBuckets = {
     0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1, 1.5, 2.5, 5};
@@ -42,6 +70,7 @@
 std::string HostedMetrics::ToText(const JobCoordinatorStats& coordinator,
                                   const WorkerSchedulerStats& owner,
                                   const MeshStats& mesh,
+                                  const BackendTraffic& backend,
                                   const HostedGauges& gauges) const {
   Families families = registry_.Collect();
   const auto count = [&](const char* name, uint64_t value) {
@@ -78,7 +107,18 @@
   count("workers_set_aside", owner.ejections_);
   count("links_opened", mesh.links_opened_);
   count("links_lost", mesh.links_lost_);
-  count("link_bytes_sent", mesh.bytes_sent_);
+  AddLabelled(&families, "link_frames_sent", "frame",
+              ByFrame(mesh.frames_sent_));
+  AddLabelled(&families, "link_bytes_sent", "frame", ByFrame(mesh.bytes_sent_));
+  const HttpTraffic& workers = backend.workers_;
+  const HttpTraffic& store = backend.store_;
+  AddLabelled(&families, "http_requests_sent", "to",
+              {{"workers", workers.requests_}, {"store", store.requests_}});
+  AddLabelled(&families, "http_bytes_sent", "to",
+              {{"workers", workers.bytes_sent_}, {"store", store.bytes_sent_}});
+  AddLabelled(
+      &families, "http_bytes_received", "from",
+      {{"workers", workers.bytes_received_}, {"store", store.bytes_received_}});
   gauge("open_jobs", gauges.open_jobs_);
   gauge("owned_workers", gauges.owned_workers_);
   gauge("reachable_owners", gauges.reachable_owners_);
--- a/src/hosted_metrics.h
+++ b/src/hosted_metrics.h
@@ -6,6 +6,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "http_client.h"
 #include "job_coordinator.h"
 #include "mesh_link.h"
 #include "worker_scheduler.h"
@@ -20,6 +21,12 @@
   bool draining_ = false;
 };
 
+/// Traffic with the hosting platform.
+struct BackendTraffic {
+  HttpTraffic workers_;
+  HttpTraffic store_;
+};
+
 /// Counters and latency histograms of a hosted instance.
 class HostedMetrics {
  public:
@@ -33,6 +40,7 @@
   /// All metrics in the Prometheus text format.
   std::string ToText(const JobCoordinatorStats& coordinator,
                      const WorkerSchedulerStats& owner, const MeshStats& mesh,
+                     const BackendTraffic& backend,
                      const HostedGauges& gauges) const;
 
  private:
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <string.h>
 #include <strings.h>
 
 #include <memory>
@@ -64,6 +65,29 @@
           static_cast<suseconds_t>(duration.ms_ % 1000 * 1000)};
 }
 
+/// Bytes of the first line of a request or response besides its path, and of
+/// the separators around one header field.
+constexpr size_t kFirstLineBytes = 20;
+constexpr size_t kFieldSeparatorBytes = 4;
+
+size_t FieldBytes(const evkeyvalq* fields) {
+  size_t bytes = 0;
+  for (const evkeyval* field = fields->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    bytes += strlen(field->key) + strlen(field->value) + kFieldSeparatorBytes;
+  }
+  return bytes;
+}
+
+size_t ResponseBytes(const HttpResponse& response) {
+  if (!response.complete_) return 0;
+  size_t bytes = kFirstLineBytes + response.body_.size();
+  for (const auto& [key, value] : response.fields_) {
+    bytes += key.size() + value.size() + kFieldSeparatorBytes;
+  }
+  return bytes;
+}
+
 evutil_socket_t Descriptor(evhttp_connection* connection) {
   return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
 }
@@ -118,6 +142,10 @@
   exchange.connects_ = Descriptor(exchange.connection_) < 0;
   exchange.request_ = evhttp_request_new(&HttpClient::OnDone, &exchange);
   FillRequest(to, request, exchange.request_);
+  ++traffic_.requests_;
+  traffic_.bytes_sent_ +=
+      kFirstLineBytes + request.path_.size() + request.body_.size() +
+      FieldBytes(evhttp_request_get_output_headers(exchange.request_));
   const timeval wait = ToTimeval(timeout);
   evhttp_connection_set_timeout_tv(exchange.connection_, &wait);
   if (evhttp_make_request(exchange.connection_, exchange.request_,
@@ -147,6 +175,7 @@
   auto* exchange = static_cast<Exchange*>(arg);
   HttpClient* self = exchange->client_;
   const HttpResponse response = ReadResponse(request);
+  self->traffic_.bytes_received_ += ResponseBytes(response);
   if (CanReuseConnection(response)) {
     // Otherwise libevent would close the idle connection after the timeout of
     // its last request.
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -36,6 +36,14 @@
   std::string Field(std::string_view name) const;
 };
 
+/// Traffic of a client since it was created. Bytes of requests and responses
+/// without the headers of TCP and IP.
+struct HttpTraffic {
+  uint64_t requests_ = 0;
+  uint64_t bytes_sent_ = 0;
+  uint64_t bytes_received_ = 0;
+};
+
 /// HTTP client with persistent connections. Each connection carries one request
 /// at a time, and no request is sent twice.
 class HttpClient {
@@ -63,6 +71,7 @@
 
   /// Number of exchanges whose response is still awaited.
   size_t open() const { return exchanges_.size(); }
+  const HttpTraffic& traffic() const { return traffic_; }
 
  private:
   struct Exchange {
@@ -82,6 +91,7 @@
 
   event_base* base_;
   ExchangeId next_id_ = 1;
+  HttpTraffic traffic_;
   std::map<ExchangeId, Exchange> exchanges_;
   std::map<Address, std::vector<evhttp_connection*>> idle_;
 };
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -99,21 +99,22 @@
   }
 }
 
-void MeshLink::Write(Link* link, const std::string& bytes) {
-  stats_.bytes_sent_ += bytes.size();
-  bufferevent_write(link->socket_, bytes.data(), bytes.size());
+void MeshLink::Write(Link* link, const EncodedFrame& frame) {
+  ++stats_.frames_sent_[frame.kind_];
+  stats_.bytes_sent_[frame.kind_] += frame.bytes_.size();
+  bufferevent_write(link->socket_, frame.bytes_.data(), frame.bytes_.size());
 }
 
 void MeshLink::WriteHeartbeat(Link* link, Time now) {
   Write(link, EncodeMesh(link->liveness_.MakeHeartbeat(now)));
 }
 
-void MeshLink::WriteFrame(Link* link, const std::string& bytes) {
+void MeshLink::WriteFrame(Link* link, const EncodedFrame& frame) {
   const Time now = clock_.Now();
   if (now - link->liveness_.sent_at() >= kMinHeartbeatInterval) {
     WriteHeartbeat(link, now);
   }
-  Write(link, bytes);
+  Write(link, frame);
 }
 
 bool MeshLink::Send(const InstanceName& owner, const MeshFrame& frame) {
@@ -133,9 +134,9 @@
 
 void MeshLink::SendLoad(const OwnerLoad& load) {
   load_ = load;
-  const std::string bytes = EncodeMesh(load);
+  const EncodedFrame frame = EncodeMesh(load);
   for (auto& [key, link] : links_) {
-    if (!link->outgoing_ && link->ready_) WriteFrame(link.get(), bytes);
+    if (!link->outgoing_ && link->ready_) WriteFrame(link.get(), frame);
   }
 }
 
@@ -145,7 +146,7 @@
   for (auto& [key, link] : links_) {
     if (!link->outgoing_ && link->ready_) sessions.push_back(link.get());
   }
-  std::string bytes;
+  EncodedFrame frame;
   for (Link* link : sessions) {
     const Duration interval =
         LoadReportInterval(sessions.size(), IsNear(*link));
@@ -153,13 +154,13 @@
         now - link->load_sent_at_ < interval) {
       continue;
     }
-    if (bytes.empty()) {
+    if (frame.bytes_.empty()) {
       load_ = load();
-      bytes = EncodeMesh(load_);
+      frame = EncodeMesh(load_);
     }
     link->load_version_ = version;
     link->load_sent_at_ = now;
-    WriteFrame(link, bytes);
+    WriteFrame(link, frame);
   }
 }
 
@@ -168,17 +169,17 @@
 }
 
 void MeshLink::SendOpenJobs(const MeshOpenJobs& jobs) {
-  const std::string bytes = EncodeMesh(jobs);
+  const EncodedFrame frame = EncodeMesh(jobs);
   for (auto& [name, link] : owners_) {
-    if (link->ready_) WriteFrame(link, bytes);
+    if (link->ready_) WriteFrame(link, frame);
   }
 }
 
 void MeshLink::RelayOpenJobs(const MeshOpenJobs& jobs) {
-  const std::string bytes = EncodeMesh(jobs);
+  const EncodedFrame frame = EncodeMesh(jobs);
   for (auto& [key, link] : links_) {
     if (!link->outgoing_ && link->ready_ && IsNear(*link)) {
-      WriteFrame(link.get(), bytes);
+      WriteFrame(link.get(), frame);
     }
   }
 }
@@ -196,11 +197,11 @@
 }
 
 bool MeshLink::SendToNearOwners(const MeshFrame& frame) {
-  const std::string bytes = EncodeMesh(frame);
+  const EncodedFrame encoded = EncodeMesh(frame);
   bool sent = false;
   for (auto& [name, link] : owners_) {
     if (!link->ready_ || !IsNear(*link)) continue;
-    WriteFrame(link, bytes);
+    WriteFrame(link, encoded);
     sent = true;
   }
   return sent;
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -46,7 +46,9 @@
   uint64_t links_lost_ = 0;
   uint64_t sessions_ = 0;
   uint64_t frames_malformed_ = 0;
-  uint64_t bytes_sent_ = 0;
+  /// By kind of frame. Without the headers of TCP and IP.
+  std::array<uint64_t, kMeshFrameKinds> frames_sent_{};
+  std::array<uint64_t, kMeshFrameKinds> bytes_sent_{};
 };
 
 /// TCP connections from each instance to the owners of workers that it assigns
@@ -137,12 +139,12 @@
 
   void Connect(const InstanceRecord& peer, Time now);
   Link* Add(int fd, bool outgoing);
-  void Write(Link* link, const std::string& bytes);
+  void Write(Link* link, const EncodedFrame& frame);
   void WriteHeartbeat(Link* link, Time now);
   /// Whether the peer is in this instance's data centre.
   bool IsNear(const Link& link) const;
   /// Writes an encoded frame after a heartbeat, unless one was just written.
-  void WriteFrame(Link* link, const std::string& bytes);
+  void WriteFrame(Link* link, const EncodedFrame& frame);
   void Drop(Link* link);
   void DropMalformed(Link* link);
   void Read(Link* link);
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -120,8 +120,8 @@
 
 }  // namespace
 
-std::string EncodeMesh(const MeshFrame& frame) {
-  return EncodeWithLength(kMeshFormat, frame);
+EncodedFrame EncodeMesh(const MeshFrame& frame) {
+  return {EncodeWithLength(kMeshFormat, frame), frame.index()};
 }
 
 bool DecodeMesh(std::string_view bytes, MeshFrame* out) {
--- a/src/mesh_wire.h
+++ b/src/mesh_wire.h
@@ -1,6 +1,8 @@
 #ifndef GENTIANDEAL_SRC_MESH_WIRE_H_
 #define GENTIANDEAL_SRC_MESH_WIRE_H_
 
+#include <array>
+
 #include "leased_worker.h"
 
 /// TCP frames between an instance that assigns tasks and the instances that own
@@ -53,8 +55,21 @@
     std::variant<MeshHello, AssignTasks, CancelTasks, MeshTasksEnded, OwnerLoad,
                  MeshHeartbeat, MeshOpenJobs, MeshRecallJob>;
 
-/// Encodes a frame, prefixed with its length: 4 bytes in network byte order.
-std::string EncodeMesh(const MeshFrame& frame);
+inline constexpr size_t kMeshFrameKinds = std::variant_size_v<MeshFrame>;
+
+/// Stable names of the kinds of frames, in their order, for metrics.
+inline constexpr std::array<std::string_view, kMeshFrameKinds> kMeshFrameNames =
+    {"hello", "assign",    "cancel",    "ended",
+     "load",  "heartbeat", "open-jobs", "recall"};
+
+/// Frame as it is sent.
+struct EncodedFrame {
+  /// Prefixed with the length of the rest: 4 bytes in network byte order.
+  std::string bytes_;
+  size_t kind_ = 0;  ///< Index in `MeshFrame`.
+};
+
+EncodedFrame EncodeMesh(const MeshFrame& frame);
 
 /// Decodes a frame without its length. @returns false if it is malformed.
 bool DecodeMesh(std::string_view bytes, MeshFrame* out);
--- a/tests/unit/mesh_wire_test.cc
+++ b/tests/unit/mesh_wire_test.cc
@@ -22,7 +22,7 @@
 BOOST_AUTO_TEST_SUITE(mesh_wire)
 
 BOOST_AUTO_TEST_CASE(AssignTasksRoundTrips) {
-  const std::string bytes = EncodeMesh(MakeAssign());
+  const std::string bytes = EncodeMesh(MakeAssign()).bytes_;
   MeshFrame frame;
   BOOST_REQUIRE(
       DecodeMesh(std::string_view(bytes).substr(kFrameLengthBytes), &frame));
@@ -32,7 +32,7 @@
   BOOST_TEST(read->tasks_.size() == 2U);
   BOOST_TEST((read->tasks_[1].serial_ == TaskSerial{8}));
   BOOST_TEST(read->job_started_);
-  BOOST_TEST(EncodeMesh(frame) == bytes);
+  BOOST_TEST(EncodeMesh(frame).bytes_ == bytes);
 }
 
 BOOST_AUTO_TEST_CASE(OwnerLoadRoundTrips) {
@@ -42,15 +42,16 @@
   pool.pool_ = "pool";
   pool.free_ = {{1, 2, 3}};
   pool.queued_cpu_milli_[3] = 9;
-  const std::string bytes = EncodeMesh(load);
+  const std::string bytes = EncodeMesh(load).bytes_;
   MeshFrame frame;
   BOOST_REQUIRE(
       DecodeMesh(std::string_view(bytes).substr(kFrameLengthBytes), &frame));
-  BOOST_TEST(EncodeMesh(frame) == bytes);
+  BOOST_TEST(EncodeMesh(frame).bytes_ == bytes);
 }
 
 BOOST_AUTO_TEST_CASE(TruncatedOrExtendedFramesAreRejected) {
-  const std::string body = EncodeMesh(MakeAssign()).substr(kFrameLengthBytes);
+  const std::string body =
+      EncodeMesh(MakeAssign()).bytes_.substr(kFrameLengthBytes);
   MeshFrame frame;
   for (size_t size = 0; size < body.size(); size += 13) {
     BOOST_TEST(!DecodeMesh(std::string_view(body).substr(0, size), &frame));
