--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -139,11 +139,12 @@
   const char* text = R"({"node_name":"a","zone":"z","ip":"10.0.0.1",
       "listen":{"frontend":"10.0.0.1:1","ready":"10.0.0.1:2"},
       "port_range":[5,9],"platform":{"addr":"10.0.0.2:3","min_ttl_ms":1500},
-      "limits":{"cpu_quota":0.12,"cores":2,"memory_mb":160},
+      "limits":{"cpu_quota":0.12,"cores":2,"memory_mb":160,"link_mbps":25.0},
       "bounds":{"grace_s":4.5,"max_hold_ms":800,"stop_timeout_ms":70,
                 "resend_ms":2600}})";
   BOOST_REQUIRE(!ParseProcessSettings(text, &settings, &detail));
   BOOST_TEST(settings.cpu_milli_ == 240);
+  BOOST_TEST(settings.link_rate_.bytes_per_s_ == 3125000);
   BOOST_TEST(settings.grace_.ms_ == 4500);
   BOOST_TEST(settings.max_lease_.ms_ == 800);
   BOOST_TEST(settings.stop_timeout_.ms_ == 70);
