Keep load reports to a tenth of an owner's link

Cause: an owner told 15 instances its load 5,642 times in 45 s, 1.03 MB and as many packets, on a link of 2 Mbit/s that also carries its starts (1.58 MB). The limit of 800 reports a second knew neither their size nor the link. Where the link's rate is 25 Mbit/s or more the interval stays what it was.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -68,6 +68,7 @@
   Address peer_address_;  ///< Where other instances connect.
   /// Processor share, in thousandths of a core; 0 when unknown.
   int32_t cpu_milli_ = 0;
+  LinkRate link_rate_;
   /// Time from SIGTERM until the process must have stopped. Jobs that are still
   /// open then are ended.
   Duration drain_limit_{5000};
@@ -96,7 +97,7 @@
         scheduler_(init.owner_limits_),
         coordinator_(init.name_, init.data_centre_),
         mesh_(base, {init.name_, init.data_centre_, incarnation_},
-              MakeMeshEvents()) {}
+              init.link_rate_, MakeMeshEvents()) {}
 
   ~HostedInstance() {
     for (event* registered : {tick_, drain_, reload_}) {
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -21,8 +21,12 @@
 
 }  // namespace
 
-MeshLink::MeshLink(event_base* base, MeshHello self, MeshEvents events)
-    : base_(base), self_(std::move(self)), events_(std::move(events)) {}
+MeshLink::MeshLink(event_base* base, MeshHello self, LinkRate link_rate,
+                   MeshEvents events)
+    : base_(base),
+      self_(std::move(self)),
+      link_rate_(link_rate),
+      events_(std::move(events)) {}
 
 MeshLink::~MeshLink() {
   if (listener_ != nullptr) evconnlistener_free(listener_);
@@ -142,14 +146,17 @@
 
 void MeshLink::ShareLoad(uint64_t version, Time now,
                          const std::function<OwnerLoad()>& load) {
-  std::vector<Link*> sessions;
+  std::vector<Link*> receivers;
+  LoadReportSessions sessions;
   for (auto& [key, link] : links_) {
-    if (!link->outgoing_ && link->ready_) sessions.push_back(link.get());
+    if (link->outgoing_ || !link->ready_) continue;
+    receivers.push_back(link.get());
+    ++(IsNear(*link) ? sessions.near_ : sessions.remote_);
   }
   EncodedFrame frame;
-  for (Link* link : sessions) {
-    const Duration interval =
-        LoadReportInterval(sessions.size(), IsNear(*link));
+  for (Link* link : receivers) {
+    const Duration interval = LoadReportInterval(
+        sessions, static_cast<int64_t>(load_bytes_), link_rate_, IsNear(*link));
     if (link->load_version_ == version ||
         now - link->load_sent_at_ < interval) {
       continue;
@@ -157,6 +164,7 @@
     if (frame.bytes_.empty()) {
       load_ = load();
       frame = EncodeMesh(load_);
+      load_bytes_ = frame.bytes_.size();
     }
     link->load_version_ = version;
     link->load_sent_at_ = now;
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -5,6 +5,7 @@
 
 #include <map>
 
+#include "link_rate.h"
 #include "mesh_wire.h"
 #include "peer_liveness.h"
 #include "worker_ownership.h"
@@ -70,7 +71,9 @@
   /// instance's callers submit their jobs again.
   static constexpr Duration kSilenceTimeout{800};
 
-  MeshLink(event_base* base, MeshHello self, MeshEvents events);
+  /// @param link_rate Of the network link that all connections share.
+  MeshLink(event_base* base, MeshHello self, LinkRate link_rate,
+           MeshEvents events);
   ~MeshLink();
   MeshLink(const MeshLink&) = delete;
   MeshLink& operator=(const MeshLink&) = delete;
@@ -152,6 +155,7 @@
 
   event_base* base_;
   MeshHello self_;
+  LinkRate link_rate_;
   MeshEvents events_;
   MonotonicClock clock_;
   evconnlistener* listener_ = nullptr;
@@ -162,6 +166,7 @@
   std::map<std::string, Link*> owners_;  // Outgoing, by name.
   std::map<Link*, std::unique_ptr<Link>> links_;
   OwnerLoad load_;
+  size_t load_bytes_ = 0;  ///< Of the last load report.
   MeshStats stats_;
 };
 
--- a/tests/unit/open_jobs_relay_test.cc
+++ b/tests/unit/open_jobs_relay_test.cc
@@ -48,20 +48,43 @@
 
 BOOST_AUTO_TEST_SUITE(load_report_interval)
 
+constexpr int64_t kReportBytes = 200;
+
 // Whatever the size of the fleet, an owner's reports cost it the same.
 BOOST_AUTO_TEST_CASE(ReportsASecondStayWithinTheirLimit) {
-  for (const size_t sessions : {1, 7, 16, 43, 146, 1000}) {
-    const double interval_s =
-        static_cast<double>(LoadReportInterval(sessions, true).ms_) / 1000;
+  for (const int64_t sessions : {1, 7, 16, 43, 146, 1000}) {
+    const auto interval = [&](bool near) {
+      return LoadReportInterval({sessions, 0}, kReportBytes, {}, near);
+    };
+    const double interval_s = static_cast<double>(interval(true).ms_) / 1000;
     const double each_s = static_cast<double>(sessions) / interval_s;
     BOOST_TEST(each_s <= kLoadReportsPerSecond * 1.05);
-    BOOST_TEST((LoadReportInterval(sessions, false) >
-                LoadReportInterval(sessions, true)));
+    BOOST_TEST((interval(false) > interval(true)));
   }
 }
 
 BOOST_AUTO_TEST_CASE(SmallFleetsAreToldAtTheShortestInterval) {
-  BOOST_TEST((LoadReportInterval(7, true) == kMinLoadReportInterval));
+  BOOST_TEST((LoadReportInterval({7, 0}, kReportBytes, {}, true) ==
+              kMinLoadReportInterval));
+}
+
+// Guards against starts that wait behind load reports: 12 owners on links of
+// 2 Mbit/s told 15 instances each, and tasks took 60 ms to an owner 2 ms away.
+BOOST_AUTO_TEST_CASE(ReportsTakeATenthOfAThinLink) {
+  constexpr LinkRate kThin{250000};
+  constexpr LoadReportSessions kSessions{3, 12};
+  const auto bytes_per_s = [&](int64_t count, bool near) {
+    const Duration interval =
+        LoadReportInterval(kSessions, kReportBytes, kThin, near);
+    return count * (kReportBytes + kLoadReportOverheadBytes) * 1000 /
+           interval.ms_;
+  };
+  const int64_t all = bytes_per_s(kSessions.near_, true) +
+                      bytes_per_s(kSessions.remote_, false);
+  BOOST_TEST(all <= kThin.bytes_per_s_ / 10 * 105 / 100);
+  constexpr LinkRate kFast{25000000};
+  BOOST_TEST((LoadReportInterval(kSessions, kReportBytes, kFast, true) ==
+              kMinLoadReportInterval));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
