Claim workers by a current list of instances

Callers saw: jobs refused (429, overloaded) while half of the workers were free, for as long as the store was down.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -58,6 +58,7 @@
   {backend.RemoveRecord(done)};
   {backend.Tick(now)};
   { backend.configured() } -> std::same_as<bool>;
+  { backend.instances_age(now) } -> std::same_as<Duration>;
   { backend.traffic() } -> std::same_as<BackendTraffic>;
 };
 
@@ -525,6 +526,7 @@
     }
     RefreshOwnLoad();
     coordinator_.Tick(now, &coordinator_out_);
+    ownership_.SetViewAge(backend_->instances_age(now));
     ownership_.Tick(
         now, [this](const WorkerId& id) { return scheduler_.IsWorkerIdle(id); },
         &ownership_out_);
--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -17,6 +17,9 @@
 /// Workers and instances that plans may go through in a second. While many
 /// instances start or stop, each change of their records would cause a plan.
 constexpr int64_t kPlannedEntriesPerSecond = 10000;
+/// Age of the records of instances up to which workers are claimed: some passes
+/// of the event loop, and less than the pause between two reads.
+constexpr Duration kMaxClaimViewAge{50};
 
 }  // namespace
 
@@ -209,7 +212,7 @@
   }
   for (const WorkerId& worker : drained) DrainAndRelease(worker, idle, out);
   if (!claims_due_ || !plan_is_current || now < claim_from_ ||
-      self_.draining_) {
+      view_age_ > kMaxClaimViewAge || self_.draining_) {
     return;
   }
   claims_due_ = false;
--- a/src/worker_ownership.h
+++ b/src/worker_ownership.h
@@ -80,6 +80,9 @@
   /// Sets whether the store can be reached. Nothing is published or claimed
   /// while it can't.
   void SetStoreUp(bool up) { store_up_ = up; }
+  /// Sets how old the listed records of instances may be. Nothing is claimed by
+  /// old ones: others may have claimed the same since.
+  void SetViewAge(Duration age) { view_age_ = age; }
   /// The last published record was stored: acquires the workers claimed in it.
   /// @param fence Revision of the write.
   void RecordWritten(Fence fence, OwnershipOutbox* out);
@@ -139,6 +142,7 @@
   InstanceRecord self_;
   Time claim_from_;
   bool store_up_ = false;
+  Duration view_age_;
   bool write_pending_ = false;
   bool record_changed_ = true;   // since the last published record
   std::set<std::string> owned_;  // claims stored, with their fence
--- a/tests/unit/worker_ownership_test.cc
+++ b/tests/unit/worker_ownership_test.cc
@@ -201,6 +201,25 @@
   }
 }
 
+// Guards against instances that start together and claim the same workers, each
+// by a list from before the other one's record: they took them from each other
+// for half a second, and a store outage meanwhile left workers without an
+// owner.
+BOOST_AUTO_TEST_CASE(ClaimsNothingByAnOldListOfInstances) {
+  ownership_.SetViewAge(Duration{150});
+  for (int i = 0; i < 30; ++i) Tick();
+  for (const PublishRecord& published : TakeCommands<PublishRecord>()) {
+    BOOST_TEST(published.record_.workers_.empty());
+  }
+  ownership_.RecordWritten(Fence{41}, &out_);
+  ownership_.InstanceListed(Record("a", "west"));
+  ownership_.SetViewAge(Duration{0});
+  Tick();
+  const auto published = TakeCommands<PublishRecord>();
+  BOOST_REQUIRE(published.size() == 1U);
+  BOOST_TEST(published[0].record_.workers_.size() == 2U);
+}
+
 // Its entry may have expired in a store outage and come back with the store.
 BOOST_AUTO_TEST_CASE(KeepsAnUnlistedWorkerForAGracePeriod) {
   ClaimAndStore(41);
