Obey a cancellation before an assignment that arrived with it

Callers would see: a task run twice at once, for some 50 ms. The late request is read, and 0 ms later its close: the coordinator sends the tasks and their cancellation to the owner, where both arrive together 262 ms later. The owner carried out each frame on its own: it started two runs, and stopped them at once. Now all frames that have arrived over a link are taken in before anything is carried out, and a cancelled start that hasn't been sent is taken back.

The world: frames that arrive in the same millisecond are read in one pass, as MeshLink reads a connection. StopsAllRunsOfAnEndedSession answers its starts, which were unsent and are taken back otherwise; TakesBackAStartThatIsCancelledBeforeItIsSent is new and failed before.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -133,6 +133,8 @@
   /// A longer gap between ticks means that the process was suspended. Longer
   /// than throttling by the processor quota, short compared to leases.
   static constexpr Duration kPauseThreshold{450};
+  /// A longer gap between ticks may have let other events arrive unread.
+  static constexpr Duration kStallThreshold{60};
   /// Time after the drain limit at which the process no longer waits for the
   /// withdrawal of its record. Leaves 700 ms of the platform's grace period.
   static constexpr Duration kWithdrawalTimeout{400};
@@ -258,19 +260,16 @@
     events.task_ended_ = [this](const InstanceName& owner,
                                 const TaskEnded& ended) {
       coordinator_.On(owner, ended, clock_.Now(), &coordinator_out_);
-      ExecuteCommands();
     };
     events.assign_ = [this](SessionId session, const AssignTasks& assign) {
       spdlog::info("event=assigned step={} session={} tasks={}", assign.name_,
                    session.value_, assign.tasks_.size());
       scheduler_.On(session, assign, clock_.Now(), &scheduler_out_);
-      ExecuteCommands();
     };
     events.cancel_ = [this](SessionId session, const CancelTasks& withdraw) {
       spdlog::info("event=cancelled session={} tasks={}", session.value_,
                    withdraw.tasks_.size());
       scheduler_.On(session, withdraw, clock_.Now(), &scheduler_out_);
-      ExecuteCommands();
     };
     events.session_alive_ = [this](SessionId session, Time alive_at) {
       scheduler_.NoteSessionAlive(session, alive_at);
@@ -289,7 +288,6 @@
         return;
       }
       coordinator_.Recall(recall.id_, clock_.Now(), &coordinator_out_);
-      ExecuteCommands();
     };
     events.session_started_ = [](SessionId session,
                                  const InstanceName& coordinator) {
@@ -301,6 +299,9 @@
                    session.value_, silence.ms_);
       scheduler_.EndSession(session, clock_.Now(), &scheduler_out_);
     };
+    // A cancellation that has arrived behind its assignment counts before
+    // anything starts.
+    events.frames_read_ = [this] { ExecuteCommands(); };
     return events;
   }
 
@@ -510,6 +511,10 @@
   void Tick() {
     const Time now = clock_.Now();
     if (now - last_tick_ > kPauseThreshold) Resume(now);
+    // After a stall, leases are renewed and tasks started only once the losses
+    // and cancellations that arrived meanwhile have been read.
+    const bool stalled = now - last_tick_ > kStallThreshold && !was_stalled_;
+    was_stalled_ = stalled;
     last_tick_ = now;
     if (workers_changed_) {
       workers_changed_ = false;
@@ -519,11 +524,7 @@
       }
       coordinator_.SetWorkers(std::move(pools));
     }
-    scheduler_.Tick(now, &scheduler_out_);
-    if (scheduler_.waiting() > 0) {
-      scheduler_.OffloadWaiting(coordinator_.RemotePoolsWithCapacity(), now,
-                                &scheduler_out_);
-    }
+    if (!stalled) TickScheduler(now);
     RefreshOwnLoad();
     coordinator_.Tick(now, &coordinator_out_);
     ownership_.SetViewAge(backend_->instances_age(now));
@@ -544,6 +545,13 @@
     if (draining_) ContinueDrain(now);
   }
 
+  void TickScheduler(Time now) {
+    scheduler_.Tick(now, &scheduler_out_);
+    if (scheduler_.waiting() == 0) return;
+    scheduler_.OffloadWaiting(coordinator_.RemotePoolsWithCapacity(), now,
+                              &scheduler_out_);
+  }
+
   void Resume(Time now) {
     spdlog::warn("event=resumed-after-pause gap_ms={}", (now - last_tick_).ms_);
     metrics_.RecordPause();
@@ -647,6 +655,7 @@
   bool listening_stopped_ = false;
   bool drain_timed_out_ = false;
   bool withdrawal_started_ = false;
+  bool was_stalled_ = false;  ///< In the last tick.
 };
 
 }  // namespace gentiandeal
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -250,7 +250,9 @@
 
 void MeshLink::OnReadable(bufferevent* /*socket*/, void* arg) {
   auto* link = static_cast<Link*>(arg);
-  link->mesh_->Read(link);
+  MeshLink* mesh = link->mesh_;
+  mesh->Read(link);  // May free the link.
+  mesh->events_.frames_read_();
 }
 
 void MeshLink::Read(Link* link) {
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -40,6 +40,8 @@
   /// process's clock.
   std::function<void(SessionId session, Time alive_at)> session_alive_;
   std::function<void(SessionId session, Duration silence)> session_ended_;
+  /// All frames that had arrived over a connection have been passed on.
+  std::function<void()> frames_read_;
 };
 
 struct MeshStats {
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -378,17 +378,39 @@
   }
   queue_.erase(dropped, queue_.end());
   for (auto& [id, worker] : workers_) {
+    std::vector<uint64_t> unsent;
     for (Run& run : worker.runs_) {
       if (!run.task_ || !wanted(*run.task_)) continue;
+      if (TakeBackStart(run, out)) {
+        Report(*run.task_, TaskEnd::kCancelled, out);
+        unsent.push_back(run.key_);
+        continue;
+      }
       run.task_->started_ = true;
       Report(*run.task_, TaskEnd::kCancelled, out);
       Detach(&run, now);
       RequestStop(&worker, &run, "cancelled", now, out);
     }
+    for (const uint64_t key : unsent) RemoveRun(&worker, key);
   }
   ++load_version_;
 }
 
+bool WorkerScheduler::TakeBackStart(const Run& run, SchedulerOutbox* out) {
+  if (run.state_ != RunState::kStarting) return false;
+  const auto found = std::find_if(
+      out->begin(), out->end(), [&](const SchedulerCommand& command) {
+        const auto* start = std::get_if<StartRun>(&command);
+        return start != nullptr && start->task_ == run.name_ &&
+               start->run_ == run.number_;
+      });
+  if (found == out->end()) return false;
+  calls_.erase(std::get<StartRun>(*found).call_.value_);
+  --stats_.starts_;
+  out->erase(found);
+  return true;
+}
+
 void WorkerScheduler::NoteSessionAlive(SessionId session, Time alive_at) {
   Time& last = last_alive_[session.value_];
   last = std::max(last, alive_at);
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -256,6 +256,7 @@
 
   void On(SessionId session, const AssignTasks& assign, Time now,
           SchedulerOutbox* out);
+  /// Also takes back starts that are still in the outbox.
   void On(SessionId session, const CancelTasks& cancel, Time now,
           SchedulerOutbox* out);
   /// Records that the coordinator of a session was alive at a time, which is
@@ -398,6 +399,9 @@
     Time sent_;
   };
 
+  /// Removes the start of a run from the outbox. @returns false if it isn't
+  /// there.
+  bool TakeBackStart(const Run& run, SchedulerOutbox* out);
   Worker* FindWorker(const std::string& id);
   WorkerCallId NewCall(CallKind kind, const Worker& worker, uint64_t run,
                        Time now);
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -171,6 +171,7 @@
     bool turned_away_ = false;  ///< By the store.
     Time paused_until_;
     Time last_tick_;
+    bool was_stalled_ = false;  ///< In the last tick.
     Time drained_since_;
     Time renew_at_;
     std::unique_ptr<WorkerOwnership> claims_;
@@ -279,11 +280,16 @@
   void Pause(size_t index, int64_t ms);
   void Drain(size_t index);
   void TickInstance(size_t index);
+  void TickScheduler(size_t index);
   void ReportOwnLoad(size_t index);
   void TickStore();
   void TickWorkers();
   /// Hands something to an instance of this life, once it isn't paused.
   void Deliver(size_t index, uint64_t life, const std::function<void()>& run);
+  /// As `Deliver`, for frames: what arrives at once is read before anything is
+  /// carried out.
+  void DeliverFrame(size_t index, uint64_t life,
+                    const std::function<void()>& run);
 
   bool StoreReachable(size_t index) const;
   void Sync(size_t index);
--- a/tests/unit/worker_scheduler_test.cc
+++ b/tests/unit/worker_scheduler_test.cc
@@ -332,10 +332,33 @@
 BOOST_AUTO_TEST_CASE(StopsAllRunsOfAnEndedSession) {
   Acquire("w");
   AssignTasks assign = Assign(2);
+  for (const StartRun& start : All<StartRun>()) AnswerStart(start);
   owner_.EndSession(kLocalSession, now_, &out_);
   BOOST_TEST(All<StopRun>().size() == 2U);
 }
 
+// Guards against a run that is started only to be stopped, beside the one of
+// the same job sent again: its cancellation arrived together with the
+// assignment.
+BOOST_AUTO_TEST_CASE(TakesBackAStartThatIsCancelledBeforeItIsSent) {
+  Acquire("w");
+  const AssignTasks assign = Assign(2);
+  owner_.On(kLocalSession,
+            CancelTasks{{assign.tasks_[0].serial_, assign.tasks_[1].serial_}},
+            now_, &out_);
+  BOOST_TEST(All<StartRun>().empty());
+  BOOST_TEST(All<StopRun>().empty());
+  const auto reports = All<ReportTask>();
+  BOOST_REQUIRE(reports.size() == 2U);
+  for (const ReportTask& report : reports) {
+    BOOST_TEST((report.ended_.end_ == TaskEnd::kCancelled));
+    BOOST_TEST(!report.ended_.started_);
+  }
+  BOOST_TEST(owner_.idle());
+  Assign(2);
+  BOOST_TEST(All<StartRun>().size() == 2U);
+}
+
 // The worker has resources for a second task, so only the pause keeps it
 // waiting.
 BOOST_AUTO_TEST_CASE(StartsNothingAfterAPauseBeforeANewPoll) {
