--- a/tests/schedule/hosted_schedule.cc
+++ b/tests/schedule/hosted_schedule.cc
@@ -118,8 +118,9 @@
       std::cout << ' ' << Name(rule) << ' ' << count;
     }
     if (!verdict.idle_) std::cout << " left-open";
-    if (verdict.ownerless_ > 0)
+    if (verdict.ownerless_ > 0) {
       std::cout << " ownerless " << verdict.ownerless_;
+    }
     std::cout << std::endl;
   }
   std::cout << "instances " << options.fleet_.instances_ << " workers "
