Plan again once claims are stored

Callers would see: fewer workers than there are, until some instance or worker comes or goes. One more plan for each write that claims.

--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -107,6 +107,8 @@
     const auto listed = listed_.find(id);
     if (owned_.count(id) > 0 || listed == listed_.end()) continue;
     owned_.insert(id);
+    // Others plan with what this instance owns now; so must this one.
+    view_changed_ = true;
     out->push_back(AcquireWorker{*listed->second, fence});
   }
 }
--- a/tests/unit/worker_ownership_test.cc
+++ b/tests/unit/worker_ownership_test.cc
@@ -220,6 +220,22 @@
   BOOST_TEST(published[0].record_.workers_.size() == 2U);
 }
 
+// Guards against a worker that each of two owners expects the other to claim:
+// one has planned before its own claims, the other after them.
+BOOST_AUTO_TEST_CASE(PlansAgainOnceItsClaimsAreStored) {
+  ownership_.InstanceListed(Record("c", "west", {"w3", "w4"}));
+  ClaimAndStore(41);
+  const uint64_t planned = ownership_.plan_version();
+  ownership_.WorkerListed(Worker("w5", "west"), now_, &out_);
+  ownership_.InstanceUnlisted({"c"});
+  Tick(600);
+  BOOST_TEST(ownership_.plan_version() == planned + 1);
+  ownership_.RecordWritten(Fence{43}, &out_);
+  BOOST_TEST(TakeCommands<AcquireWorker>().size() == 3U);
+  Tick(600);
+  BOOST_TEST(ownership_.plan_version() == planned + 2);
+}
+
 // Its entry may have expired in a store outage and come back with the store.
 BOOST_AUTO_TEST_CASE(KeepsAnUnlistedWorkerForAGracePeriod) {
   ClaimAndStore(41);
