Play late requests on kept connections in the random schedule

Since late requests are held the world played them over new connections only, where the code can tell them.

--- a/tests/schedule/hosted_schedule.cc
+++ b/tests/schedule/hosted_schedule.cc
@@ -72,7 +72,8 @@
       {"requests", &HostedTroubles::requests_},
       {"store", &HostedTroubles::store_},
       {"mutes", &HostedTroubles::mutes_},
-      {"restarts", &HostedTroubles::restarts_}};
+      {"restarts", &HostedTroubles::restarts_},
+      {"kept", &HostedTroubles::kept_}};
   std::istringstream stream(names);
   for (std::string name; std::getline(stream, name, ',');) {
     if (name == "all") {
@@ -143,7 +144,7 @@
       "workers", po::value(&options.fleet_.workers_)->default_value(12))(
       "troubles", po::value(&options.trouble_names_)->default_value("none"),
       "none, all, or some of "
-      "holds,stalls,callers,requests,store,mutes,restarts")(
+      "holds,stalls,callers,requests,store,mutes,restarts,kept")(
       "seed", po::value(&options.first_seed_)->default_value(1), "first seed")(
       "seeds", po::value(&options.seeds_)->default_value(30), "their number")(
       "steps", po::value(&options.steps_)->default_value(2000))(
--- a/tests/unit/hosted_world.cc
+++ b/tests/unit/hosted_world.cc
@@ -536,9 +536,9 @@
     arrive();
   } else {
     ++seen_.late_requests_;
-    // Requests come over new connections.
     const Duration wait = sent.arrives_ - now_;
-    const bool held = MayBeGivenUp(wait, Duration{kResendMs});
+    const Duration known = troubles_.kept_ ? Duration{0} : wait;
+    const bool held = MayBeGivenUp(known, Duration{kResendMs});
     Later((held ? wait + kCloseGrace : wait).ms_, arrive);
   }
   if (!troubles_.callers_ && !troubles_.requests_) return;
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -68,6 +68,9 @@
   bool store_ = false;     ///< Entries of workers and watches are late.
   bool mutes_ = false;     ///< Workers answer nothing, and carry out late.
   bool restarts_ = false;  ///< Workers restart quickly under their identifier.
+  /// Late requests come over kept connections, so that nothing tells how long
+  /// they were on their way. With `requests_` only.
+  bool kept_ = false;
 
   bool any() const {
     return holds_ || stalls_ || callers_ || requests_ || store_ || mutes_ ||
