Tell why a call to a worker got no answer

HttpClient now says why an exchange has no response, and the log has refused, disconnected, unanswered, and not-sent for a start whose connection failed. Nothing else changes: the scheduler treats all alike. Test: http_client/TellsWhyAnExchangeHasNoResponse.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -138,9 +138,21 @@
                                         Duration timeout, Done done) {
   const ExchangeId id = next_id_++;
   Exchange& exchange = exchanges_[id];
-  exchange = {this, id, to, TakeConnection(to), nullptr, std::move(done)};
+  exchange.client_ = this;
+  exchange.id_ = id;
+  exchange.to_ = to;
+  exchange.connection_ = TakeConnection(to);
+  exchange.done_ = std::move(done);
   exchange.connects_ = Descriptor(exchange.connection_) < 0;
+  exchange.sent_at_ = clock_.Now();
+  exchange.timeout_ = timeout;
   exchange.request_ = evhttp_request_new(&HttpClient::OnDone, &exchange);
+  evhttp_request_set_error_cb(
+      exchange.request_, [](evhttp_request_error error, void* arg) {
+        static_cast<Exchange*>(arg)->failure_ =
+            error == EVREQ_HTTP_TIMEOUT ? HttpFailure::kTimeout
+                                        : HttpFailure::kDisconnected;
+      });
   FillRequest(to, request, exchange.request_);
   ++traffic_.requests_;
   traffic_.bytes_sent_ +=
@@ -171,10 +183,19 @@
   event_base_once(base_, -1, EV_TIMEOUT, fail, new Failure(this, id), &at_once);
 }
 
+// libevent reports errors of open connections only.
+HttpFailure HttpClient::FailureOf(const Exchange& exchange) const {
+  if (exchange.failure_ != HttpFailure::kNone) return exchange.failure_;
+  return clock_.Now() - exchange.sent_at_ < exchange.timeout_
+             ? HttpFailure::kRefused
+             : HttpFailure::kConnectTimeout;
+}
+
 void HttpClient::OnDone(evhttp_request* request, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
   HttpClient* self = exchange->client_;
-  const HttpResponse response = ReadResponse(request);
+  HttpResponse response = ReadResponse(request);
+  if (!response.complete_) response.failure_ = self->FailureOf(*exchange);
   self->traffic_.bytes_received_ += ResponseBytes(response);
   if (CanReuseConnection(response)) {
     // Otherwise libevent would close the idle connection after the timeout of
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-#include "gentiandeal/gentiandeal.h"
+#include "gentiandeal_p.h"
 
 struct evhttp_connection;
 struct evhttp_request;
@@ -26,8 +26,18 @@
   std::string body_;
 };
 
+/// Why an exchange has no complete response.
+enum class HttpFailure : uint8_t {
+  kNone,
+  kRefused,         ///< The connection was refused: nothing was sent.
+  kConnectTimeout,  ///< No answer to the connection request: nothing was sent.
+  kDisconnected,    ///< The connection ended, or the response was malformed.
+  kTimeout,         ///< No progress in time.
+};
+
 struct HttpResponse {
   bool complete_ = false;  ///< False when the connection failed or timed out.
+  HttpFailure failure_ = HttpFailure::kNone;
   int status_ = 0;
   std::vector<HttpField> fields_;
   std::string body_;
@@ -82,14 +92,20 @@
     evhttp_request* request_ = nullptr;
     Done done_;
     bool connects_ = false;  ///< Its connection wasn't open before.
+    Time sent_at_;
+    Duration timeout_;
+    /// How libevent reported that an open connection failed.
+    HttpFailure failure_ = HttpFailure::kNone;
   };
 
   static void OnDone(evhttp_request* request, void* arg);
+  HttpFailure FailureOf(const Exchange& exchange) const;
   evhttp_connection* TakeConnection(const Address& to);
   void FailLater(ExchangeId id);
   void FreeLater(evhttp_connection* connection);
 
   event_base* base_;
+  MonotonicClock clock_;
   ExchangeId next_id_ = 1;
   HttpTraffic traffic_;
   std::map<ExchangeId, Exchange> exchanges_;
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -71,6 +71,8 @@
       return "rejected";
     case StartResult::kUnanswered:
       return "unanswered";
+    case StartResult::kNotSent:
+      return "not-sent";
   }
   return "unknown";
 }
@@ -109,6 +111,10 @@
       return "other-life";
     case PollResult::kUnanswered:
       return "unanswered";
+    case PollResult::kDisconnected:
+      return "disconnected";
+    case PollResult::kRefused:
+      return "refused";
   }
   return "unknown";
 }
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -63,7 +63,9 @@
   kListed,
   kStaleFence,
   kOtherIncarnation,
-  kUnanswered,  ///< No answer, or an incomplete or malformed one.
+  kUnanswered,    ///< No answer in time, or a malformed one.
+  kDisconnected,  ///< The connection ended before the answer.
+  kRefused,       ///< The connection was refused: nothing listens there.
 };
 
 /// Stable name for logs, such as `unanswered`.
@@ -126,6 +128,7 @@
   kOtherIncarnation,  ///< Another incarnation of the worker answered.
   kRejected,          ///< Malformed start, or an unknown reason of refusal.
   kUnanswered,        ///< May have been carried out, or may still be.
+  kNotSent,           ///< No connection: the worker has not seen it.
 };
 
 /// Stable name for logs, such as `stale-fence`.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -87,7 +87,8 @@
     if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
     return;
   }
-  if (ended.result_ == StartResult::kUnanswered) {
+  if (ended.result_ == StartResult::kUnanswered ||
+      ended.result_ == StartResult::kNotSent) {
     ++stats_.starts_unanswered_;
     if (run.task_) run.task_->started_ = true;
     run.start_uncertain_since_ = now;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
 #include <optional>
 
 #include "event_base.h"
@@ -70,6 +72,35 @@
   BOOST_TEST(!later.HasConnection());
 }
 
+// A start that was never sent can be sent elsewhere at once, and a worker whose
+// process is gone is told from one that is silent.
+BOOST_AUTO_TEST_CASE(TellsWhyAnExchangeHasNoResponse) {
+  const EventBase base(event_base_new());
+  HttpClient client(base.get());
+  const auto failure = [&](uint16_t port, const std::function<void()>& sent) {
+    std::optional<HttpResponse> answer;
+    client.Send({"127.0.0.1", port}, {"POST", "/poll", {}, "body"},
+                kCallTimeout,
+                [&](const HttpResponse& response) { answer = response; });
+    sent();
+    while (!answer) event_base_loop(base.get(), EVLOOP_ONCE);
+    return answer->failure_;
+  };
+  auto listener = std::make_unique<StandingListener>(0);
+  const uint16_t port = listener->port();
+  BOOST_TEST((failure(port, [] {}) == HttpFailure::kTimeout));
+  while (listener->HasConnection()) {
+  }
+  const auto close_connection = [&] {
+    while (!listener->HasConnection()) {
+      event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
+  };
+  BOOST_TEST((failure(port, close_connection) == HttpFailure::kDisconnected));
+  listener.reset();
+  BOOST_TEST((failure(port, [] {}) == HttpFailure::kRefused));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
