Play tasks that crash their workers, and workers that shrink

The simulated world has two more troubles: deadly tasks, whose workers' connections end or fall silent, and resources of workers that shrink and grow. A rule counts starts of a task after three workers have crashed while it ran; room that has shrunk counts 4.5 s later, for instances that read the store.

--- a/tests/schedule/hosted_schedule.cc
+++ b/tests/schedule/hosted_schedule.cc
@@ -59,6 +59,8 @@
       return "answered-once";
     case HostedRule::kEndsBeforeResend:
       return "ends-before-resend";
+    case HostedRule::kCrashes:
+      return "crashes";
   }
   return "unknown";
 }
@@ -73,7 +75,9 @@
       {"store", &HostedTroubles::store_},
       {"mutes", &HostedTroubles::mutes_},
       {"restarts", &HostedTroubles::restarts_},
-      {"kept", &HostedTroubles::kept_}};
+      {"kept", &HostedTroubles::kept_},
+      {"deadly", &HostedTroubles::deadly_},
+      {"shrinks", &HostedTroubles::shrinks_}};
   std::istringstream stream(names);
   for (std::string name; std::getline(stream, name, ',');) {
     if (name == "all") {
@@ -144,8 +148,9 @@
       "workers", po::value(&options.fleet_.workers_)->default_value(12))(
       "troubles", po::value(&options.trouble_names_)->default_value("none"),
       "none, all, or some of "
-      "holds,stalls,callers,requests,store,mutes,restarts,kept")(
-      "seed", po::value(&options.first_seed_)->default_value(1), "first seed")(
+      "holds,stalls,callers,requests,store,mutes,restarts,kept,deadly,"
+      "shrinks")("seed", po::value(&options.first_seed_)->default_value(1),
+                 "first seed")(
       "seeds", po::value(&options.seeds_)->default_value(30), "their number")(
       "steps", po::value(&options.steps_)->default_value(2000))(
       "trace", po::value(&options.trace_file_),
--- a/tests/unit/hosted_schedule_test.cc
+++ b/tests/unit/hosted_schedule_test.cc
@@ -201,6 +201,37 @@
   Play(22, {.callers_ = true, .mutes_ = true}, 1500);
 }
 
+// Guards against a task that takes down one worker after the other (issue 27).
+BOOST_AUTO_TEST_CASE(ATaskThatCrashesItsWorkersIsGivenUp) {
+  for (const uint64_t seed : {1, 2}) {
+    const HostedWorld::Seen seen = Play(seed, {.deadly_ = true});
+    BOOST_TEST(seen.crashes_by_tasks_ > 50U);
+    BOOST_TEST(seen.failed_deadly_ > 20U);
+  }
+  Play(3, {.holds_ = true,
+           .stalls_ = true,
+           .callers_ = true,
+           .mutes_ = true,
+           .restarts_ = true,
+           .deadly_ = true});
+  Play(1, {.deadly_ = true}, kTroubledSteps,
+       {.instances_ = 24, .workers_ = 72});
+}
+
+// Guards against starts on a worker whose resources have shrunk below them.
+BOOST_AUTO_TEST_CASE(RulesHoldWhileResourcesOfWorkersShrink) {
+  for (const uint64_t seed : {1, 2}) {
+    const HostedWorld::Seen seen = Play(seed, {.shrinks_ = true});
+    BOOST_TEST(seen.shrunk_ > 10U);
+    BOOST_TEST(seen.shrunk_below_use_ > 2U);
+  }
+  Play(3, {.holds_ = true,
+           .stalls_ = true,
+           .mutes_ = true,
+           .restarts_ = true,
+           .shrinks_ = true});
+}
+
 // Late requests and quick restarts of workers beside all other troubles.
 BOOST_AUTO_TEST_CASE(RulesHoldUnderAllTroubles) {
   Play(9,
--- a/tests/unit/hosted_world.cc
+++ b/tests/unit/hosted_world.cc
@@ -181,6 +181,15 @@
     if (!troubles_.restarts_ || !worker.up_) return;
     ++seen_.quick_restarts_;
     Crash(&worker, Between(5, 300), /*under_its_id=*/true);
+  } else if (roll < 106) {
+    if (!troubles_.shrinks_) return;
+    // One that runs something, if there is any.
+    const auto busy = std::find_if(
+        workers_.begin(), workers_.end(), [](const Worker& busy_one) {
+          return busy_one.up_ && !busy_one.runs_.empty();
+        });
+    Worker* shrinks = busy == workers_.end() ? &worker : &*busy;
+    if (shrinks->up_) Shrink(shrinks);
   }
 }
 
@@ -229,6 +238,7 @@
   instance.entries_read_ = 0;
   instance.workers_read_ = false;
   instance.watch_held_until_ = now_;
+  instance.store_read_since_ = now_;
   instance.linked_plan_ = 0;
   instance.targets_.clear();
   instance.links_.assign(instances_.size(), 0);
@@ -401,6 +411,9 @@
   Instance& instance = instances_[index];
   const bool reachable = StoreReachable(index);
   instance.claims_->SetStoreUp(reachable);
+  if (!reachable || instance.watch_held_until_ > now_) {
+    instance.store_read_since_ = now_;
+  }
   // Watches answer a little late.
   if (!reachable || Roll(2) == 0 || instance.watch_held_until_ > now_) return;
   for (const auto& [name, stored] : records_) {
@@ -494,6 +507,13 @@
   spec.useful_within_ = {3 * spec.objective_.ms_};
   spec.deadline_ = {lasting ? 6000 : 1500};
   job.poison_ = Roll(20) == 0;
+  if (troubles_.deadly_ && Roll(10) == 0) {
+    job.deadly_ = id + ".0.0.0";
+    // Long enough for many crashes.
+    spec.objective_ = {Between(3000, 5000)};
+    spec.useful_within_ = {3 * spec.objective_.ms_};
+    spec.deadline_ = {10000};
+  }
   const bool long_runs = Roll(4) == 0;
   const uint64_t steps = Roll(5) == 0 ? 2 : 1;
   for (uint32_t i = 0; i < steps; ++i) {
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -51,6 +51,9 @@
   /// When a caller may send a lost job again, no run of it is in progress, and
   /// none starts for the lost request.
   kEndsBeforeResend,
+  /// A task isn't started three times more after three workers have crashed
+  /// while it ran there.
+  kCrashes,
 };
 
 struct HostedViolation {
@@ -71,10 +74,14 @@
   /// Late requests come over kept connections, so that nothing tells how long
   /// they were on their way. With `requests_` only.
   bool kept_ = false;
+  /// Tasks crash the workers that start them, whose connections then end unless
+  /// their hosts are silent.
+  bool deadly_ = false;
+  bool shrinks_ = false;  ///< Resources of workers shrink and grow again.
 
   bool any() const {
     return holds_ || stalls_ || callers_ || requests_ || store_ || mutes_ ||
-           restarts_;
+           restarts_ || deadly_ || shrinks_;
   }
   static constexpr HostedTroubles All() {
     return {true, true, true, true, true, true, true};
@@ -135,6 +142,10 @@
     uint64_t quick_restarts_ = 0;
     uint64_t inherited_orders_ = 0;         ///< Accepted by a later life.
     uint64_t orders_of_earlier_lives_ = 0;  ///< Gone with that life.
+    uint64_t crashes_by_tasks_ = 0;
+    uint64_t failed_deadly_ = 0;  ///< Jobs whose tasks crash workers, failed.
+    uint64_t shrunk_ = 0;
+    uint64_t shrunk_below_use_ = 0;  ///< Below what ran there.
   };
   const Seen& seen() const { return seen_; }
 
@@ -194,6 +205,7 @@
     size_t entries_read_ = 0;
     bool workers_read_ = false;
     Time watch_held_until_;
+    Time store_read_since_;  ///< Since when it reaches the store.
     uint64_t linked_plan_ = 0;
     Time links_refreshed_at_;
     std::map<std::string, Incarnation> targets_;  ///< Names to connect to.
@@ -236,6 +248,10 @@
     int64_t accepts_ms_ = 0;
     Time mute_until_;
     bool mutes_polls_ = false;
+    /// Crashed, and its host answers nothing.
+    bool dark_ = false;
+    /// Resources that it had before, and until when.
+    std::vector<std::pair<Time, Resources>> earlier_capacities_;
     uint64_t fence_ = 0;
     int64_t lease_ms_ = 0;  ///< On its own clock.
     uint64_t last_end_ = 0;
@@ -249,6 +265,10 @@
   struct CallerJob {
     HostedJob spec_;
     bool poison_ = false;  ///< Its tasks fail.
+    std::string deadly_;   ///< Task that crashes each worker that starts it.
+    /// Workers that crashed while they ran a task, by task.
+    std::map<std::string, uint32_t> crashes_;
+    std::map<std::string, uint32_t> starts_after_crashes_;
     uint32_t attempts_ = 0;
     uint32_t refusals_ = 0;
     bool given_up_ = false;  ///< Lost, and not sent again.
@@ -359,20 +379,30 @@
   int64_t WorkerClock(const Worker& worker) const;
   Worker* FindWorker(const WorkerId& id);
   StartResult CarryOutStart(Worker* worker, const StartRun& start,
-                            uint64_t order, Time sent);
+                            uint64_t order, Time sent, size_t owner);
   bool CarryOutStop(Worker* worker, const StopRun& stop, Time sent);
   void CarryOutHold(Worker* worker, WaitingHold waiting);
+  /// Lets a poll time out.
+  void AnswerLate(const WaitingHold& waiting);
   void AnswerHold(Worker* worker, const WaitingHold& waiting,
                   PollResult result);
   void Renew(Worker* worker, int64_t until_ms);
   void EndRun(Worker* worker, const std::string& task, RunEnd end);
   void Crash(Worker* worker, int64_t away, bool under_its_id);
+  /// Schedules the crash of a worker by a task that it has started.
+  void CrashSoon(Worker* worker, const std::string& task);
+  void Shrink(Worker* worker);
+  void SetCapacity(Worker* worker, int32_t cpu_milli);
+  /// Largest resources that count: one that has shrunk counts later.
+  Resources CountedCapacity(const Worker& worker) const;
+  bool InTouch(size_t index) const;
   void Return(Worker* worker, bool under_its_id);
   void List(const Worker& worker, std::optional<LeasedWorker> entry);
   bool Mute(const Worker& worker, bool poll);
   bool Accepts(const Worker& worker, const LeasedWorker& addressed, Time sent);
-  void CheckStart(const Worker& worker, const std::string& task,
-                  uint64_t order);
+  void CheckStart(const Worker& worker, const std::string& task, uint64_t order,
+                  size_t owner);
+  void CheckCrashes(const std::string& task);
   void TakeNote(const WorkerId& worker, const PollEnded& ended);
   void CheckFailures(const std::string& task, uint64_t start_order);
 
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -354,6 +354,7 @@
     }
     case HostedJobOutcome::kFailed:
       ++seen_.failed_;
+      if (!job.deadly_.empty()) ++seen_.failed_deadly_;
       break;
     case HostedJobOutcome::kNotRun:
       ++seen_.not_run_;
--- a/tests/unit/hosted_world_workers.cc
+++ b/tests/unit/hosted_world_workers.cc
@@ -11,6 +11,10 @@
 constexpr int64_t kCallTimeoutMs = 250;  // of the worker calls
 constexpr int64_t kHeartbeatMs = 1500;   // of the workers' entries
 constexpr int64_t kHeartbeatsMs = 4500;  // silence until a worker is unlisted
+constexpr int64_t kContactMs = 3000;     // of the users' rules
+constexpr int32_t kCpuMilli = 32000;     // of a worker that hasn't shrunk
+constexpr uint32_t kMaxCrashes = 3;      // of the users' rules
+constexpr uint32_t kMaxStartsAfterCrashes = 2;
 
 uint32_t StepOf(const std::string& task) {
   const size_t last = task.rfind('.');
@@ -96,14 +100,17 @@
           [answer] { answer(StartResult::kUnanswered, std::nullopt); });
   }
   if (never) return;
-  Later(delay, [this, start, answer, unanswered, order = ++last_order_,
+  Later(delay, [this, start, answer, unanswered, index, order = ++last_order_,
                 sent = now_] {
     Worker* worker = FindWorker(start.worker_->id_);
     if (!worker->up_) {
-      if (!unanswered) answer(StartResult::kUnanswered, std::nullopt);
-      return;
+      if (unanswered) return;
+      if (troubles_.deadly_ && !worker->dark_) {
+        return answer(StartResult::kNotSent, std::nullopt);
+      }
+      return answer(StartResult::kUnanswered, std::nullopt);
     }
-    const StartResult result = CarryOutStart(worker, start, order, sent);
+    const StartResult result = CarryOutStart(worker, start, order, sent, index);
     Note("start carried out ", start.task_, " run ", start.run_, " ",
          start.worker_->id_.value_, " ", Name(result), " lease left ",
          worker->lease_ms_ - WorkerClock(*worker));
@@ -114,7 +121,8 @@
 }
 
 StartResult HostedWorld::CarryOutStart(Worker* worker, const StartRun& start,
-                                       uint64_t order, Time sent) {
+                                       uint64_t order, Time sent,
+                                       size_t owner) {
   if (!Accepts(*worker, *start.worker_, sent)) {
     return StartResult::kOtherIncarnation;
   }
@@ -134,7 +142,7 @@
       (over != worker->over_.end() && start.run_ <= over->second)) {
     return StartResult::kOldRun;
   }
-  CheckStart(*worker, start.task_, order);
+  CheckStart(*worker, start.task_, order, owner);
   const CallerJob& job = jobs_[JobOf(start.task_)];
   const HostedJobStep& step = job.spec_.steps_[StepOf(start.task_)];
   WorkerRun run;
@@ -146,11 +154,64 @@
       Duration{hangs ? 60000 : step.expected_.ms_ * Between(70, 140) / 100};
   run.fails_ = job.poison_ || Chance(2);
   worker->runs_[start.task_] = run;
+  if (job.deadly_ == start.task_) CrashSoon(worker, start.task_);
   return StartResult::kStarted;
 }
 
+void HostedWorld::CrashSoon(Worker* worker, const std::string& task) {
+  const int64_t life = worker->info_.started_ms_;
+  const int64_t after = Roll(4) == 0 ? Between(10, 400) : Between(1, 10);
+  Later(after, [this, worker, task, life] {
+    if (worker->info_.started_ms_ != life || worker->runs_.count(task) == 0) {
+      return;
+    }
+    ++seen_.crashes_by_tasks_;
+    worker->dark_ = Roll(5) == 0;
+    Crash(worker, Between(2500, 4000),
+          /*under_its_id=*/troubles_.restarts_ && Roll(2) == 0);
+  });
+}
+
+void HostedWorld::Shrink(Worker* worker) {
+  ++seen_.shrunk_;
+  SetCapacity(worker, static_cast<int32_t>(Between(0, kCpuMilli)));
+  const int64_t life = worker->info_.started_ms_;
+  Later(Between(1000, 8000), [this, worker, life] {
+    if (worker->up_ && worker->info_.started_ms_ == life) {
+      SetCapacity(worker, kCpuMilli);
+    }
+  });
+}
+
+void HostedWorld::SetCapacity(Worker* worker, int32_t cpu_milli) {
+  int32_t used = 0;
+  for (const auto& [name, run] : worker->runs_) {
+    used += jobs_[JobOf(name)].spec_.steps_[StepOf(name)].need_.cpu_milli_;
+  }
+  if (cpu_milli < used) ++seen_.shrunk_below_use_;
+  Note("capacity ", worker->info_.id_.value_, " ", cpu_milli);
+  worker->earlier_capacities_.emplace_back(now_, worker->info_.capacity_);
+  worker->info_.capacity_.cpu_milli_ = cpu_milli;
+  Later(Between(0, kHeartbeatMs), [this, worker] {
+    if (worker->up_) List(*worker, worker->info_);
+  });
+}
+
+Resources HostedWorld::CountedCapacity(const Worker& worker) const {
+  Resources counted = worker.info_.capacity_;
+  for (const auto& [until, capacity] : worker.earlier_capacities_) {
+    if (until + Duration{kContactMs + kHeartbeatMs} < now_) continue;
+    counted.cpu_milli_ = std::max(counted.cpu_milli_, capacity.cpu_milli_);
+  }
+  return counted;
+}
+
+bool HostedWorld::InTouch(size_t index) const {
+  return now_ - instances_[index].store_read_since_ >= Duration{kContactMs};
+}
+
 void HostedWorld::CheckStart(const Worker& worker, const std::string& task,
-                             uint64_t order) {
+                             uint64_t order, size_t owner) {
   const std::string id = JobOf(task);
   CallerJob& job = jobs_[id];
   const uint32_t number = StepOf(task);
@@ -161,7 +222,10 @@
   for (const auto& [name, run] : worker.runs_) {
     used += jobs_[JobOf(name)].spec_.steps_[StepOf(name)].need_;
   }
-  if (!Fits(used, worker.info_.capacity_)) {
+  // An instance can't know of a change while it doesn't read the store.
+  const Resources most =
+      InTouch(owner) ? CountedCapacity(worker) : Resources{kCpuMilli, 4096, 0};
+  if (!Fits(used, most)) {
     Violate(HostedRule::kRoom, task + " at " + worker.info_.id_.value_);
   }
   for (const Worker& other : workers_) {
@@ -188,6 +252,16 @@
     Violate(HostedRule::kPlace, task + " at " + worker.info_.id_.value_);
   }
   CheckFailures(task, order);
+  CheckCrashes(task);
+}
+
+void HostedWorld::CheckCrashes(const std::string& task) {
+  CallerJob& job = jobs_[JobOf(task)];
+  const auto crashes = job.crashes_.find(task);
+  if (crashes == job.crashes_.end() || crashes->second < kMaxCrashes) return;
+  if (++job.starts_after_crashes_[task] > kMaxStartsAfterCrashes) {
+    Violate(HostedRule::kCrashes, task);
+  }
 }
 
 // An end counts from when an owner has read it. One that is lost with its
@@ -273,16 +347,7 @@
   waiting.sent_ = now_;
   waiting.lost_ =
       Mute(*FindWorker(hold.worker_->id_), /*poll=*/true) || Chance(3);
-  if (waiting.lost_) {
-    Later(kCallTimeoutMs + hold.wait_.ms_, [this, waiting] {
-      PollEnded ended;
-      ended.call_ = waiting.hold_.call_;
-      Deliver(waiting.instance_, waiting.life_, [this, waiting, ended] {
-        instances_[waiting.instance_].owner_->On(
-            ended, now_, &instances_[waiting.instance_].owner_out_);
-      });
-    });
-  }
+  if (waiting.lost_) AnswerLate(waiting);
   Later(waiting.lost_ ? Between(1, 3000) : Between(1, 3), [this, waiting] {
     CarryOutHold(FindWorker(waiting.hold_.worker_->id_), waiting);
   });
@@ -290,7 +355,11 @@
 
 void HostedWorld::CarryOutHold(Worker* worker, WaitingHold waiting) {
   const PollWorker& hold = waiting.hold_;
-  if (!worker->up_) return AnswerHold(worker, waiting, PollResult::kUnanswered);
+  if (!worker->up_) {
+    return AnswerHold(
+        worker, waiting,
+        troubles_.deadly_ ? PollResult::kRefused : PollResult::kUnanswered);
+  }
   if (!Accepts(*worker, *hold.worker_, waiting.sent_)) {
     return AnswerHold(worker, waiting, PollResult::kOtherIncarnation);
   }
@@ -310,9 +379,23 @@
   worker->waiting_.push_back(waiting);
 }
 
+void HostedWorld::AnswerLate(const WaitingHold& waiting) {
+  const Time until =
+      waiting.sent_ + Duration{kCallTimeoutMs} + waiting.hold_.wait_;
+  Later((until - now_).ms_, [this, waiting] {
+    PollEnded ended;
+    ended.call_ = waiting.hold_.call_;
+    Deliver(waiting.instance_, waiting.life_, [this, waiting, ended] {
+      instances_[waiting.instance_].owner_->On(
+          ended, now_, &instances_[waiting.instance_].owner_out_);
+    });
+  });
+}
+
 void HostedWorld::AnswerHold(Worker* worker, const WaitingHold& waiting,
                              PollResult result) {
   if (waiting.lost_) return;
+  if (worker->dark_) return AnswerLate(waiting);
   PollEnded ended;
   ended.call_ = waiting.hold_.call_;
   ended.result_ = result;
@@ -387,7 +470,10 @@
 void HostedWorld::Crash(Worker* worker, int64_t away, bool under_its_id) {
   if (!worker->up_) return;
   Note("crash ", worker->info_.id_.value_, " for ", away,
-       (under_its_id ? " under its id" : ""));
+       (under_its_id ? " under its id" : ""), (worker->dark_ ? " dark" : ""));
+  for (const auto& [task, run] : worker->runs_) {
+    ++jobs_[JobOf(task)].crashes_[task];
+  }
   worker->up_ = false;
   worker->fence_ = 0;
   worker->lease_ms_ = 0;
@@ -398,7 +484,9 @@
   std::vector<WaitingHold> waiting;
   waiting.swap(worker->waiting_);
   for (const WaitingHold& one : waiting) {
-    AnswerHold(worker, one, PollResult::kUnanswered);
+    AnswerHold(worker, one,
+               troubles_.deadly_ ? PollResult::kDisconnected
+                                 : PollResult::kUnanswered);
   }
   if (away > kHeartbeatsMs) {
     Later(kHeartbeatsMs, [this, worker] {
@@ -411,7 +499,12 @@
 void HostedWorld::Return(Worker* worker, bool under_its_id) {
   const LeasedWorker before = worker->info_;
   worker->up_ = true;
+  worker->dark_ = false;
   worker->born_ = now_;
+  if (worker->info_.capacity_.cpu_milli_ != kCpuMilli) {
+    worker->earlier_capacities_.emplace_back(now_, worker->info_.capacity_);
+    worker->info_.capacity_.cpu_milli_ = kCpuMilli;
+  }
   ++worker->info_.started_ms_;
   if (!under_its_id) worker->accepts_ms_ = worker->info_.started_ms_;
   Note("back ", worker->info_.id_.value_, " started ",
