Give up a task under which workers crash

An owner queued a lost run again until a start was too late to be of use, and what it knew was lost with each return of the task, each session and each job sent again. Class of fault: an unbounded retry whose state lives with whoever retries.

Now TaskLossLedger counts, by the name of the task, workers that were lost under it and crashes that it is blamed for: of the tasks on a worker, those just started, of these those with the most crashes. Two crashes, or three lost workers of any cause, end the task, and its job is answered as failed at once. The counts go with each assignment, to all connected instances at each loss, on within their data centres, and to whoever connects later. A refused connection after the loss is the evidence of a crash: it charges the task at once but frees nothing, since a cut may refuse connections as well; runs there are over when their lease is. A worker whose connection ended gets nothing new before it has answered, and a start whose connection failed goes elsewhere at once.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -245,6 +245,7 @@
       if (connected_owners_.insert(owner.value_).second) {
         spdlog::info("event=owner-reached owner={}", owner.value_);
         ownership_.SetReachable(owner, true);
+        SendSuspectTasks(owner);
       }
       loads_received_at_[owner.value_] = clock_.Now();
       coordinator_.OwnerLoadReported(owner, data_centre, load);
@@ -282,6 +283,12 @@
         if (!relayed) open_jobs_relay_.On(list);
       }
     };
+    events.task_losses_ = [this](const MeshTaskLosses& losses, bool relayed) {
+      coordinator_.NoteLosses(losses.tasks_, clock_.Now());
+      const MeshTaskLosses news{
+          scheduler_.NoteLosses(losses.tasks_, clock_.Now())};
+      if (!relayed && !news.tasks_.empty()) mesh_.RelayTaskLosses(news);
+    };
     events.recall_ = [this](const MeshRecallJob& recall) {
       if (recall.coordinator_ != init_.name_) {
         mesh_.SendToPeer(recall.coordinator_, recall);
@@ -289,10 +296,11 @@
       }
       coordinator_.Recall(recall.id_, clock_.Now(), &coordinator_out_);
     };
-    events.session_started_ = [](SessionId session,
-                                 const InstanceName& coordinator) {
+    events.session_started_ = [this](SessionId session,
+                                     const InstanceName& coordinator) {
       spdlog::info("event=session-started session={} coordinator={}",
                    session.value_, coordinator.value_);
+      SendSuspectTasks(coordinator);
     };
     events.session_ended_ = [this](SessionId session, Duration silence) {
       spdlog::warn("event=session-ended session={} silent_ms={}",
@@ -305,6 +313,12 @@
     return events;
   }
 
+  /// What was told while an instance wasn't connected, or before its restart.
+  void SendSuspectTasks(const InstanceName& peer) {
+    MeshTaskLosses suspects{coordinator_.SuspectTasks()};
+    if (!suspects.tasks_.empty()) mesh_.SendToPeer(peer, std::move(suspects));
+  }
+
   // Commands may cause further commands; those are executed afterwards, without
   // recursion.
   void ExecuteCommands() {
@@ -418,6 +432,17 @@
         poll.call_.value_, poll.worker_.value_, Name(poll.result_),
         poll.failures_, poll.runs_);
   }
+  void Execute(const LossesCharged& charged) {
+    for (const TaskLosses& one : charged.tasks_) {
+      spdlog::warn(
+          "event=task-lost-worker task={} worker={} cause={} lost={} "
+          "crashes={}",
+          one.task_, charged.worker_.value_, Name(charged.cause_),
+          one.losses_.lost_, one.losses_.crashes_);
+    }
+    coordinator_.NoteLosses(charged.tasks_, clock_.Now());
+    mesh_.SendTaskLosses({charged.tasks_});
+  }
   void Execute(const WorkerRestarted& worker) {
     spdlog::warn("event=worker-restarted worker={} from={} to={} runs={}",
                  worker.worker_.value_, worker.from_ms_, worker.to_ms_,
--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -82,6 +82,7 @@
   count("room_jobs", coordinator.jobs_);
   count("room_jobs_complete", coordinator.complete_);
   count("room_jobs_failed", coordinator.failed_);
+  count("room_jobs_crashing", coordinator.crashing_);
   count("room_jobs_refused", coordinator.refused_);
   count("room_jobs_interrupted", coordinator.interrupted_);
   count("room_jobs_timed_out", coordinator.timed_out_);
@@ -104,6 +105,9 @@
   count("foreign_runs", owner.foreign_runs_);
   count("runs_inferred_over", owner.runs_inferred_over_);
   count("workers_restarted", owner.workers_restarted_);
+  count("workers_crashed", owner.workers_crashed_);
+  count("workers_silenced", owner.workers_silenced_);
+  count("tasks_given_up", owner.tasks_given_up_);
   count("workers_set_aside", owner.ejections_);
   count("links_opened", mesh.links_opened_);
   count("links_lost", mesh.links_lost_);
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -24,6 +24,8 @@
 /// abandoned.
 constexpr uint32_t kMaxReassignments = 4;
 constexpr Duration kRetryAfter{1000};
+/// Reason of a job that failed since a task of it crashes workers.
+constexpr std::string_view kCrashesWorkers = "crashes-workers";
 /// Age from which a job counts as long open: well below the delay after which a
 /// caller that lost it submits it again, so that other instances know by then.
 constexpr Duration kLongOpenAge{500};
@@ -40,6 +42,10 @@
   return std::max(Duration{0}, job.objective_ - CriticalPathTime(job));
 }
 
+std::string StepName(const HostedJob& job, uint32_t step) {
+  return job.id_ + ".0." + std::to_string(step);
+}
+
 PoolLoad* FindPool(OwnerLoad* load, const std::string& pool) {
   for (PoolLoad& candidate : load->pools_) {
     if (candidate.pool_ == pool) return &candidate;
@@ -94,6 +100,23 @@
   return "unknown";
 }
 
+bool JobCoordinator::CrashesWorkers(const HostedJob& job) const {
+  if (losses_.empty()) return false;
+  for (uint32_t step = 0; step < job.steps_.size(); ++step) {
+    for (uint32_t i = 0; i < job.steps_[step].count_; ++i) {
+      if (IsExhausted(losses_.Find(TaskName(StepName(job, step), i)))) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void JobCoordinator::NoteLosses(const std::vector<TaskLosses>& losses,
+                                Time now) {
+  for (const TaskLosses& one : losses) losses_.Merge(one, now);
+}
+
 bool JobCoordinator::FitsSomewhere(const HostedJob& job) const {
   const auto pool = workers_.find(job.pool_);
   if (pool == workers_.end()) return false;
@@ -156,6 +179,17 @@
                                    Slack(spec)});
     return;
   }
+  if (CrashesWorkers(spec)) {
+    ++stats_.failed_;
+    ++stats_.crashing_;
+    out->push_back(AnswerHostedJob{submit.request_,
+                                   HostedJobOutcome::kFailed,
+                                   kCrashesWorkers,
+                                   {},
+                                   {},
+                                   {}});
+    return;
+  }
   const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_);
   if (loads.empty()) {
     return Refuse(submit.request_, "no-workers", {}, {}, out);
@@ -264,7 +298,7 @@
   AssignTasks& assign = placement->assigns_[{name, step}];
   if (assign.tasks_.empty()) {
     const Duration age = now - job->accepted_;
-    assign.name_ = spec.id_ + ".0." + std::to_string(step);
+    assign.name_ = StepName(spec, step);
     assign.pool_ = spec.pool_;
     assign.label_ = step_spec.label_;
     assign.payload_ = spec.payload_;
@@ -281,7 +315,8 @@
   ++job->assigned_;
   ++stats_.tasks_assigned_;
   tasks_[task.serial_.value_] = {id, step, index};
-  assign.tasks_.push_back({task.serial_, index});
+  assign.tasks_.push_back(
+      {task.serial_, index, losses_.Find(TaskName(assign.name_, index))});
 }
 
 void JobCoordinator::On(const InstanceName& owner, const TaskEnded& ended,
@@ -326,6 +361,10 @@
       break;
     case TaskEnd::kRefused:
       break;
+    case TaskEnd::kCrashes:
+      CancelAssigned(&job, now, out);
+      ++stats_.crashing_;
+      return Finish(ref.job_, HostedJobOutcome::kFailed, kCrashesWorkers, out);
   }
   if (task.reassignments_ > kMaxReassignments) {
     return Abandon(ref.job_, "moved-often", now, out);
@@ -513,6 +552,7 @@
 }
 
 void JobCoordinator::Tick(Time now, CoordinatorOutbox* out) {
+  losses_.Expire(now);
   std::erase_if(ending_,
                 [now](const auto& entry) { return now >= entry.second; });
   std::vector<uint64_t> expired;
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -123,6 +123,7 @@
   uint64_t tasks_assigned_ = 0;
   /// Tasks assigned again after an owner reported them as not done.
   uint64_t tasks_reassigned_ = 0;
+  uint64_t crashing_ = 0;  ///< Failed, as a task of theirs crashes workers.
 };
 
 /// Jobs accepted by this instance, and the last known state of all owners.
@@ -147,6 +148,10 @@
   /// Records the long open jobs of another instance, in place of those before.
   void JobsOpenElsewhere(const InstanceName& coordinator,
                          const std::vector<std::string>& ids, Time now);
+  /// Takes in which workers were lost under tasks of jobs that may come here.
+  void NoteLosses(const std::vector<TaskLosses>& losses, Time now);
+  /// Returns the losses that an instance needs to know once it is connected.
+  std::vector<TaskLosses> SuspectTasks() const { return losses_.Suspects(); }
   /// Ends a job whose caller has submitted it to another instance.
   void Recall(const std::string& id, Time now, CoordinatorOutbox* out);
 
@@ -229,6 +234,8 @@
   };
 
   bool FitsSomewhere(const HostedJob& job) const;
+  /// Returns whether too many workers were lost under any task of a job.
+  bool CrashesWorkers(const HostedJob& job) const;
   /// Returns the instance at which a job is open or may still have runs; null
   /// if none is known.
   const std::string* FindOpenElsewhere(const std::string& id, Time now) const;
@@ -268,6 +275,7 @@
   std::map<std::string, OpenElsewhere> open_elsewhere_;  // by instance
   /// Jobs that were given up and may still have runs, until the given time.
   std::unordered_map<std::string, Time> ending_;
+  TaskLossLedger losses_;
   JobCoordinatorStats stats_;
 };
 
--- a/src/leased_worker.h
+++ b/src/leased_worker.h
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <array>
 
-#include "gentiandeal_p.h"
+#include "task_losses.h"
 
 /// Types for leased workers: workers that don't enforce their own resource
 /// limits and accept orders from only one instance, their owner, at a time.
@@ -94,8 +94,14 @@
 struct AssignedTask {
   TaskSerial serial_;
   uint32_t index_ = 0;  ///< Index of the task within its step.
+  WorkerLosses losses_{};
 };
 
+/// Name of a task, by which workers and owners know it.
+inline std::string TaskName(const std::string& step, uint32_t index) {
+  return step + "." + std::to_string(index);
+}
+
 /// Assigns tasks of one step of one job, which differ only in their index.
 struct AssignTasks {
   std::string name_;  ///< Name of the tasks, without the index.
@@ -127,6 +133,7 @@
   /// Not accepted: the owner is leaving or has no such worker. Also a waiting
   /// task that is returned to be assigned to another owner.
   kRefused,
+  kCrashes,  ///< Given up: too many workers were lost while it ran there.
 };
 
 /// Stable name for logs, such as `refused`.
@@ -146,6 +153,8 @@
       return "cancelled";
     case TaskEnd::kRefused:
       return "refused";
+    case TaskEnd::kCrashes:
+      return "crashes";
   }
   return "unknown";
 }
--- a/src/mesh_link.cc
+++ b/src/mesh_link.cc
@@ -184,7 +184,10 @@
 }
 
 void MeshLink::RelayOpenJobs(const MeshOpenJobs& jobs) {
-  const EncodedFrame frame = EncodeMesh(jobs);
+  SendToNearSessions(EncodeMesh(jobs));
+}
+
+void MeshLink::SendToNearSessions(const EncodedFrame& frame) {
   for (auto& [key, link] : links_) {
     if (!link->outgoing_ && link->ready_ && IsNear(*link)) {
       WriteFrame(link.get(), frame);
@@ -192,6 +195,17 @@
   }
 }
 
+void MeshLink::SendTaskLosses(const MeshTaskLosses& losses) {
+  const EncodedFrame frame = EncodeMesh(losses);
+  for (auto& [key, link] : links_) {
+    if (link->ready_) WriteFrame(link.get(), frame);
+  }
+}
+
+void MeshLink::RelayTaskLosses(const MeshTaskLosses& losses) {
+  SendToNearSessions(EncodeMesh(losses));
+}
+
 bool MeshLink::SendToPeer(const InstanceName& peer, const MeshFrame& frame) {
   if (Send(peer, frame)) return true;
   for (auto& [key, link] : links_) {
@@ -283,9 +297,9 @@
     link->hello_ = *hello;
     if (!link->outgoing_) {
       link->ready_ = true;
-      events_.session_started_(link->session_, hello->name_);
       Write(link, EncodeMesh(self_));
       WriteFrame(link, EncodeMesh(load_));
+      events_.session_started_(link->session_, hello->name_);
       return true;
     }
     if (hello->incarnation_ != link->peer_.incarnation_) return false;
@@ -305,6 +319,10 @@
     events_.open_jobs_(*jobs, /*relayed=*/link->outgoing_);
     return true;
   }
+  if (const auto* losses = std::get_if<MeshTaskLosses>(&frame)) {
+    events_.task_losses_(*losses, /*relayed=*/link->outgoing_);
+    return true;
+  }
   if (const auto* recall = std::get_if<MeshRecallJob>(&frame)) {
     events_.recall_(*recall);
     return true;
--- a/src/mesh_link.h
+++ b/src/mesh_link.h
@@ -36,6 +36,9 @@
   /// The caller of a job has submitted it to another instance. The job's
   /// coordinator is this instance or one that may be connected to it.
   std::function<void(const MeshRecallJob& recall)> recall_;
+  /// Workers were lost under tasks: told by the owner of the workers, or passed
+  /// on by another one.
+  std::function<void(const MeshTaskLosses& losses, bool relayed)> task_losses_;
   /// The peer of a session is known to have been alive at a time, on this
   /// process's clock.
   std::function<void(SessionId session, Time alive_at)> session_alive_;
@@ -104,6 +107,10 @@
   void SendOpenJobs(const MeshOpenJobs& jobs);
   /// Sends lists of open jobs to the connected instances of this data centre.
   void RelayOpenJobs(const MeshOpenJobs& jobs);
+  /// Sends losses of workers to all connected instances.
+  void SendTaskLosses(const MeshTaskLosses& losses);
+  /// Sends losses to the connected instances of this data centre.
+  void RelayTaskLosses(const MeshTaskLosses& losses);
   /// Sends a frame to an instance over any connection to it. @returns false if
   /// there is none.
   bool SendToPeer(const InstanceName& peer, const MeshFrame& frame);
@@ -146,6 +153,8 @@
   Link* Add(int fd, bool outgoing);
   void Write(Link* link, const EncodedFrame& frame);
   void WriteHeartbeat(Link* link, Time now);
+  /// Writes a frame to the coordinators of this data centre that are connected.
+  void SendToNearSessions(const EncodedFrame& frame);
   /// Whether the peer is in this instance's data centre.
   bool IsNear(const Link& link) const;
   /// Writes an encoded frame after a heartbeat, unless one was just written.
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -24,10 +24,23 @@
   archive.Value(resources.gpu_);
 }
 
+template <typename Archive>
+void Serialize(Archive& archive, WorkerLosses& losses) {
+  archive.Value(losses.lost_);
+  archive.Value(losses.crashes_);
+}
+
 template <typename Archive>
 void Serialize(Archive& archive, AssignedTask& task) {
   Serialize(archive, task.serial_);
   archive.Value(task.index_);
+  Serialize(archive, task.losses_);
+}
+
+template <typename Archive>
+void Serialize(Archive& archive, TaskLosses& task) {
+  archive.Text(task.task_);
+  Serialize(archive, task.losses_);
 }
 
 template <typename Archive>
@@ -36,7 +49,7 @@
   auto end = static_cast<uint8_t>(ended.end_);
   archive.Value(end);
   if constexpr (Archive::kReads) {
-    if (end > static_cast<uint8_t>(TaskEnd::kRefused)) archive.Fail();
+    if (end > static_cast<uint8_t>(TaskEnd::kCrashes)) archive.Fail();
     ended.end_ = static_cast<TaskEnd>(end);
   }
   Serialize(archive, ended.started_);
@@ -101,6 +114,12 @@
   SerializeList(archive, jobs.lists_, config::kMaxListsPerReport, uint16_t{0});
 }
 
+template <typename Archive>
+void Serialize(Archive& archive, MeshTaskLosses& losses) {
+  SerializeList(archive, losses.tasks_, config::kMaxTasksPerMessage,
+                uint32_t{0});
+}
+
 template <typename Archive>
 void Serialize(Archive& archive, MeshRecallJob& recall) {
   Serialize(archive, recall.coordinator_);
@@ -116,7 +135,7 @@
 namespace {
 
 /// First byte of every frame; has to change whenever the format does.
-constexpr uint8_t kMeshFormat = 0xe3;
+constexpr uint8_t kMeshFormat = 0xe4;
 
 }  // namespace
 
--- a/src/mesh_wire.h
+++ b/src/mesh_wire.h
@@ -51,16 +51,22 @@
   std::string id_;
 };
 
+/// Workers lost under tasks. From an owner to all instances that it is
+/// connected to; owners that receive it so pass it on within their data centre.
+struct MeshTaskLosses {
+  std::vector<TaskLosses> tasks_;
+};
+
 using MeshFrame =
     std::variant<MeshHello, AssignTasks, CancelTasks, MeshTasksEnded, OwnerLoad,
-                 MeshHeartbeat, MeshOpenJobs, MeshRecallJob>;
+                 MeshHeartbeat, MeshOpenJobs, MeshRecallJob, MeshTaskLosses>;
 
 inline constexpr size_t kMeshFrameKinds = std::variant_size_v<MeshFrame>;
 
 /// Stable names of the kinds of frames, in their order, for metrics.
 inline constexpr std::array<std::string_view, kMeshFrameKinds> kMeshFrameNames =
-    {"hello", "assign",    "cancel",    "ended",
-     "load",  "heartbeat", "open-jobs", "recall"};
+    {"hello",     "assign",    "cancel", "ended", "load",
+     "heartbeat", "open-jobs", "recall", "losses"};
 
 /// Frame as it is sent.
 struct EncodedFrame {
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -95,6 +95,8 @@
       return "never-started";
     case RunOverReason::kLeaseOver:
       return "lease-over";
+    case RunOverReason::kCrashed:
+      return "worker-crashed";
     case RunOverReason::kOutOfReach:
       return "out-of-reach";
   }
@@ -201,7 +203,7 @@
 bool WorkerScheduler::InService(const Worker& worker) {
   return worker.confirmed_ && !worker.draining_ && !worker.info_->leaving_ &&
          worker.poll_failures_ < kPollFailuresToSuspend &&
-         !HasInheritedRun(worker);
+         !worker.disconnected_at_ && !HasInheritedRun(worker);
 }
 
 bool WorkerScheduler::Usable(const Worker& worker, Time now) {
@@ -253,6 +255,9 @@
   earlier.push_back(earlier_ms);
   if (earlier.size() > kMaxEarlierIncarnations) earlier.erase(earlier.begin());
   worker->last_seen_ = 0;
+  ChargeLoss(worker, LossCause::kCrash, worker->disconnected_at_.value_or(now),
+             now, out);
+  worker->disconnected_at_.reset();
   worker->incarnation_since_ = now;
   worker->clock_known_ = false;
   worker->confirmed_ = false;
@@ -351,12 +356,18 @@
     Task task;
     task.session_ = session;
     task.serial_ = assigned.serial_;
-    task.name_ = assign.name_ + "." + std::to_string(assigned.index_);
+    task.name_ = TaskName(assign.name_, assigned.index_);
     task.batch_ = batch;
     if (draining_) {
       Report(task, TaskEnd::kRefused, out);
       continue;
     }
+    losses_.Merge({task.name_, assigned.losses_}, now);
+    if (IsExhausted(losses_.Find(task.name_))) {
+      ++stats_.tasks_given_up_;
+      Report(task, TaskEnd::kCrashes, out);
+      continue;
+    }
     if (queue_.size() >= kMaxWaitingTasks) {
       // A refused task would be assigned here again at once.
       ++stats_.expired_;
@@ -513,11 +524,16 @@
 
 void WorkerScheduler::DropRuns(Worker* worker, RunOverReason reason, Time now,
                                SchedulerOutbox* out) {
+  if (reason == RunOverReason::kLeaseOver) {
+    ChargeLoss(worker, LossCause::kSilence, now, now, out);
+  }
   std::vector<Run> runs;
   runs.swap(worker->runs_);
   worker->free_ = worker->info_->capacity_;
   for (Run& run : runs) {
-    NoteOver(*worker, run, reason, out);
+    const bool crashed = reason == RunOverReason::kLeaseOver &&
+                         run.charged_ == LossCause::kCrash;
+    NoteOver(*worker, run, crashed ? RunOverReason::kCrashed : reason, out);
     if (!run.start_seen_at_) RememberVoided(worker, run, now);
     if (reason != RunOverReason::kOutOfReach) ++stats_.runs_inferred_over_;
     if (!run.task_) continue;
@@ -538,6 +554,7 @@
 }
 
 void WorkerScheduler::Tick(Time now, SchedulerOutbox* out) {
+  losses_.Expire(now);
   for (auto& [id, worker] : workers_) {
     const bool had_runs = !worker.runs_.empty();
     if (worker.poll_failures_ > 0 && had_runs &&
@@ -549,7 +566,8 @@
       if (worker.poll_failures_ > 0 || !worker.confirmed_) {
         SendPoll(&worker, /*immediate=*/true, now, out);
       }
-      if (!worker.poll_pending_) {
+      // One poll at a time is enough to find that connections are refused.
+      if (!worker.poll_pending_ && !worker.disconnected_at_) {
         SendPoll(&worker, /*immediate=*/false, now, out);
       }
     }
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -81,6 +81,7 @@
   kMissing,       ///< Lists that would have to show it don't.
   kNeverStarted,  ///< The worker can't carry out its start any more.
   kLeaseOver,     ///< Its worker is silent and the lease has ended here.
+  kCrashed,       ///< Its worker crashed and the lease has ended here.
   kOutOfReach,    ///< Its worker was lost or released while it may run.
 };
 
@@ -112,9 +113,17 @@
   size_t runs_ = 0;  ///< Runs that were counted as using it.
 };
 
+/// Tells that a worker was lost while it ran tasks, so that no instance starts
+/// them too often.
+struct LossesCharged {
+  WorkerId worker_;
+  LossCause cause_ = LossCause::kSilence;
+  std::vector<TaskLosses> tasks_;
+};
+
 using SchedulerCommand =
     std::variant<StartRun, StopRun, PollWorker, ReportTask, WorkerLost, RunOver,
-                 WorkerRestarted, PollFailed>;
+                 WorkerRestarted, PollFailed, LossesCharged>;
 using SchedulerOutbox = std::vector<SchedulerCommand>;
 
 /// A worker's answer to a start.
@@ -217,7 +226,11 @@
   /// Runs whose end no list has shown, by evidence: absence from lists, end of
   /// the lease, restart of the worker.
   uint64_t runs_inferred_over_ = 0;
-  uint64_t ejections_ = 0;  ///< Times a failing worker was ejected.
+  uint64_t ejections_ = 0;        ///< Times a failing worker was ejected.
+  uint64_t workers_crashed_ = 0;  ///< While they ran tasks.
+  uint64_t workers_silenced_ =
+      0;  ///< While they ran tasks, until their lease ended.
+  uint64_t tasks_given_up_ = 0;  ///< Too many workers were lost under them.
 };
 
 /// Owner of leased workers: schedules tasks on them and never overbooks them.
@@ -265,6 +278,10 @@
   /// Records that the coordinator of a session was alive at a time, which is
   /// when it gave that sign of life and not when that arrived.
   void NoteSessionAlive(SessionId session, Time alive_at);
+  /// Takes in what other instances know of workers that were lost under tasks.
+  /// @returns those that were news.
+  std::vector<TaskLosses> NoteLosses(const std::vector<TaskLosses>& losses,
+                                     Time now);
   /// Cancels all tasks of a session whose connection ended.
   void EndSession(SessionId session, Time now, SchedulerOutbox* out);
 
@@ -350,6 +367,8 @@
     /// Since when its start, which was never seen, has come too late to be
     /// carried out.
     std::optional<Time> start_expired_since_;
+    /// Why its worker was lost under it, once its task was charged with that.
+    std::optional<LossCause> charged_;
   };
 
   /// A start that got no answer and was stopped before it was carried out.
@@ -379,6 +398,8 @@
     bool poll_pending_ = false;
     bool immediate_poll_pending_ = false;
     uint32_t poll_failures_ = 0;  ///< Consecutive polls without a list.
+    /// Since when its connections end or are refused.
+    std::optional<Time> disconnected_at_;
     Time next_poll_at_;
     uint64_t last_seen_ = 0;  ///< Number of the last end that was processed.
     int64_t clock_ms_ = 0;    ///< The worker's clock at `clock_read_`.
@@ -479,6 +500,11 @@
   /// reason is `kOutOfReach`, and queued again if not.
   void DropRuns(Worker* worker, RunOverReason reason, Time now,
                 SchedulerOutbox* out);
+  /// Charges the tasks that run there with its loss, each once.
+  void ChargeLoss(Worker* worker, LossCause cause, Time lost_at, Time now,
+                  SchedulerOutbox* out);
+  void NotePollFailure(Worker* worker, const PollEnded& ended, Time now,
+                       SchedulerOutbox* out);
   void Eject(Worker* worker, Time now);
   void UpdateSlowness(Worker* worker, const Run& run, Time now);
   /// Reports a worker as lost and releases it.
@@ -495,6 +521,7 @@
   std::vector<Task> queue_;  ///< Waiting tasks, ordered by `start_by_`.
   /// Last sign of life by session, without the local one.
   std::unordered_map<uint64_t, Time> last_alive_;
+  TaskLossLedger losses_;
   WorkerSchedulerStats stats_;
 };
 
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -87,15 +87,14 @@
     if (run.state_ == RunState::kStarting) run.state_ = RunState::kRunning;
     return;
   }
-  if (ended.result_ == StartResult::kUnanswered ||
-      ended.result_ == StartResult::kNotSent) {
+  if (ended.result_ == StartResult::kUnanswered) {
     ++stats_.starts_unanswered_;
     if (run.task_) run.task_->started_ = true;
     run.start_uncertain_since_ = now;
     SendPoll(worker, /*immediate=*/true, now, out);
     return;
   }
-  // The worker refused the start: nothing runs.
+  // The worker refused the start or never saw it: nothing runs.
   ++stats_.starts_refused_;
   std::optional<Task> task = std::move(run.task_);
   RemoveRun(worker, call.run_);
@@ -106,6 +105,9 @@
   if (ended.result_ == StartResult::kOtherIncarnation) {
     worker->confirmed_ = false;
   }
+  if (ended.result_ == StartResult::kNotSent && !worker->disconnected_at_) {
+    worker->disconnected_at_ = now;
+  }
   if (task) {
     if (ended.result_ == StartResult::kRejected) {
       Report(*task, TaskEnd::kFailed, out);
@@ -151,15 +153,7 @@
     return LoseWorker(call.worker_, "stale-fence", now, out);
   }
   if (ended.result_ != PollResult::kListed) {
-    ++stats_.polls_failed_;
-    const uint32_t doublings = std::min<uint32_t>(worker->poll_failures_++, 3);
-    out->push_back(PollFailed{ended.call_, worker->info_->id_, ended.result_,
-                              worker->poll_failures_, worker->runs_.size()});
-    worker->next_poll_at_ =
-        now +
-        std::min(Duration{kPollBackoff.ms_ << doublings}, kMaxPollBackoff);
-    ++load_version_;
-    return;
+    return NotePollFailure(worker, ended, now, out);
   }
   if (worker->info_->started_ms_ != 0 && ended.started_ms_ != 0 &&
       worker->info_->started_ms_ != ended.started_ms_) {
@@ -175,6 +169,7 @@
   const uint64_t version = load_version_;
   const bool was_usable = Usable(*worker, now);
   worker->poll_failures_ = 0;
+  worker->disconnected_at_.reset();
   // Answers on two connections may arrive out of order.
   const bool newest =
       !worker->clock_known_ || ended.clock_ms_ >= worker->clock_ms_;
@@ -202,6 +197,46 @@
   if (!was_usable || load_version_ != version) StartWaiting(now, out);
 }
 
+void WorkerScheduler::NotePollFailure(Worker* worker, const PollEnded& ended,
+                                      Time now, SchedulerOutbox* out) {
+  ++stats_.polls_failed_;
+  const uint32_t doublings = std::min<uint32_t>(worker->poll_failures_++, 3);
+  out->push_back(PollFailed{ended.call_, worker->info_->id_, ended.result_,
+                            worker->poll_failures_, worker->runs_.size()});
+  worker->next_poll_at_ =
+      now + std::min(Duration{kPollBackoff.ms_ << doublings}, kMaxPollBackoff);
+  ++load_version_;
+  if (ended.result_ == PollResult::kUnanswered) return;
+  if (!worker->disconnected_at_) worker->disconnected_at_ = now;
+  // A connection may end for other reasons than its process.
+  if (ended.result_ == PollResult::kDisconnected) return;
+  ChargeLoss(worker, LossCause::kCrash, *worker->disconnected_at_, now, out);
+}
+
+void WorkerScheduler::ChargeLoss(Worker* worker, LossCause cause, Time lost_at,
+                                 Time now, SchedulerOutbox* out) {
+  std::vector<LostRun> lost;
+  for (Run& run : worker->runs_) {
+    if (run.charged_) continue;
+    run.charged_ = cause;
+    lost.push_back({run.name_, run.sent_at_});
+  }
+  if (lost.empty()) return;
+  ++(cause == LossCause::kCrash ? stats_.workers_crashed_
+                                : stats_.workers_silenced_);
+  out->push_back(LossesCharged{worker->info_->id_, cause,
+                               losses_.Charge(lost, cause, lost_at, now)});
+}
+
+std::vector<TaskLosses> WorkerScheduler::NoteLosses(
+    const std::vector<TaskLosses>& losses, Time now) {
+  std::vector<TaskLosses> news;
+  for (const TaskLosses& one : losses) {
+    if (losses_.Merge(one, now)) news.push_back(one);
+  }
+  return news;
+}
+
 void WorkerScheduler::ProcessFinished(Worker* worker, const PollEnded& ended,
                                       Time now, SchedulerOutbox* out) {
   uint64_t seen = worker->last_seen_;
--- a/src/worker_scheduler_queue.cc
+++ b/src/worker_scheduler_queue.cc
@@ -30,6 +30,10 @@
 
 void WorkerScheduler::Requeue(Task task, const Worker& worker, Time now,
                               SchedulerOutbox* out) {
+  if (IsExhausted(losses_.Find(task.name_))) {
+    ++stats_.tasks_given_up_;
+    return Report(task, TaskEnd::kCrashes, out);
+  }
   if (now >= task.batch_->give_up_at_) {
     return Report(task, TaskEnd::kExpired, out);
   }
@@ -48,6 +52,7 @@
   Worker* best = nullptr;
   double best_score = 0;
   const AssignTasks& assign = task.batch_->assign_;
+  const bool suspect = losses_.Find(task.name_).crashes_ > 0;
   for (auto& [id, worker] : workers_) {
     if (!Usable(worker, now) || !Fits(assign.need_, worker.free_)) continue;
     if (!CanLease(worker, task.session_, now)) continue;
@@ -56,6 +61,8 @@
     // The tightest fit leaves larger free blocks for larger tasks.
     const double cpu_left = worker.free_.cpu_milli_ - assign.need_.cpu_milli_;
     double score = cpu_left / std::max(1, assign.need_.cpu_milli_);
+    // What a task that crashes workers takes with it should be little.
+    if (suspect) score = static_cast<double>(worker.runs_.size());
     score += worker.slowness_;
     if (id == task.avoid_worker_) score += kAvoidCost;
     if (best == nullptr || score < best_score) {
--- a/tests/unit/hosted_schedule_test.cc
+++ b/tests/unit/hosted_schedule_test.cc
@@ -83,7 +83,7 @@
       {HostedBreakage::kForgetFailures, HostedRule::kFailures},
       {HostedBreakage::kSameFence, HostedRule::kOneOwner},
       {HostedBreakage::kMaybeLooksNotRun, HostedRule::kNotRunIsTrue},
-      {HostedBreakage::kLostLooksDone, HostedRule::kCompleteIsTrue},
+      {HostedBreakage::kLostLooksDone, HostedRule::kCompleteIsTrue, 4},
       {HostedBreakage::kRepeatAnswer, HostedRule::kAnsweredOnce},
   };
   for (const Case& one : cases) {
@@ -173,9 +173,9 @@
   const HostedTroubles holds{.holds_ = true};
   BOOST_TEST(Breaks(HostedRule::kEndsBeforeResend, 3,
                     HostedBreakage::kAliveOnArrival, holds, kTroubledSteps));
-  BOOST_TEST(Breaks(HostedRule::kOneRun, 58, HostedBreakage::kAliveOnArrival,
+  BOOST_TEST(Breaks(HostedRule::kOneRun, 112, HostedBreakage::kAliveOnArrival,
                     holds, kTroubledSteps));
-  for (const uint64_t seed : {3, 11, 34, 58}) Play(seed, holds);
+  for (const uint64_t seed : {3, 11, 34, 58, 112}) Play(seed, holds);
 }
 
 // Guards against a new owner that renews the lease of a run of the one before.
@@ -204,7 +204,7 @@
 // Guards against a task that takes down one worker after the other (issue 27).
 BOOST_AUTO_TEST_CASE(ATaskThatCrashesItsWorkersIsGivenUp) {
   for (const uint64_t seed : {1, 2}) {
-    const HostedWorld::Seen seen = Play(seed, {.deadly_ = true});
+    const HostedWorld::Seen seen = Play(seed, {.deadly_ = true}, 8000);
     BOOST_TEST(seen.crashes_by_tasks_ > 50U);
     BOOST_TEST(seen.failed_deadly_ > 20U);
   }
@@ -218,6 +218,16 @@
        {.instances_ = 24, .workers_ = 72});
 }
 
+BOOST_AUTO_TEST_CASE(LossesThatNobodyIsToldOfAreCaught) {
+  BOOST_TEST(Breaks(HostedRule::kCrashes, 1, HostedBreakage::kForgetLosses,
+                    {.deadly_ = true}, kTroubledSteps));
+}
+
+BOOST_AUTO_TEST_CASE(ChangesOfResourcesThatNobodyIsToldOfAreCaught) {
+  BOOST_TEST(Breaks(HostedRule::kRoom, 1, HostedBreakage::kKeepCapacity,
+                    {.shrinks_ = true}, kTroubledSteps));
+}
+
 // Guards against starts on a worker whose resources have shrunk below them.
 BOOST_AUTO_TEST_CASE(RulesHoldWhileResourcesOfWorkersShrink) {
   for (const uint64_t seed : {1, 2}) {
--- a/tests/unit/hosted_world.cc
+++ b/tests/unit/hosted_world.cc
@@ -35,7 +35,7 @@
     worker.info_.data_centre_ = i % 2 == 0 ? "east" : "west";
     worker.info_.pool_ = i % 6 == 5 ? "side" : "main";
     worker.info_.labels_ = {i % 3 == 0 ? "fast" : "plain"};
-    worker.info_.capacity_ = {32000, 4096, 0};
+    worker.info_.capacity_ = {kCpuMilli, 4096, 0};
     worker.info_.started_ms_ = now_.ms_ + static_cast<int64_t>(i);
     worker.accepts_ms_ = worker.info_.started_ms_;
     worker.born_ = now_;
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -35,6 +35,8 @@
   kLostLooksDone,     ///< A lost task is told as done.
   kRepeatAnswer,      ///< An answer is sent twice.
   kAliveOnArrival,    ///< Links and owners date signs of life by arrivals.
+  kForgetLosses,      ///< Nobody is told of workers lost under tasks.
+  kKeepCapacity,      ///< Owners aren't told of changes of resources.
 };
 
 /// What must hold, named as the users' rules do.
@@ -151,6 +153,8 @@
 
  private:
   static constexpr int64_t kTickMs = 20;
+  /// Processors of a worker that hasn't shrunk.
+  static constexpr int32_t kCpuMilli = 32000;
 
   struct LinkEnd {
     bool open_ = false;
@@ -367,6 +371,10 @@
   // Only logged by instances.
   void Do(size_t index, const RunOver& over);
   void Do(size_t index, const WorkerRestarted& worker);
+  void Do(size_t index, const LossesCharged& charged);
+  void SendLosses(uint64_t id, Side to, const std::vector<TaskLosses>& losses);
+  void ReadLosses(uint64_t id, Side side,
+                  const std::vector<TaskLosses>& losses);
   void Do(size_t /*index*/, const PollFailed& /*poll*/) {}
   void Do(size_t /*index*/, const TaskReassigned& /*task*/) {}
   void Do(size_t /*index*/, const JobRejoined& /*job*/) {}
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -128,6 +128,8 @@
     one.ready_ = true;
   });
   SendLoad(id);
+  const auto suspects = owner.desk_->SuspectTasks();
+  if (!suspects.empty()) SendLosses(id, Side::kDesk, suspects);
 }
 
 void HostedWorld::SendLoad(uint64_t id) {
@@ -140,6 +142,8 @@
     if (!link.reported_) {
       link.reported_ = true;
       desk.claims_->SetReachable(owner.name_, true);
+      const auto suspects = desk.desk_->SuspectTasks();
+      if (!suspects.empty()) SendLosses(id, Side::kOwner, suspects);
     }
     desk.desk_->OwnerLoadReported(owner.name_, owner.data_centre_, load);
   });
@@ -434,6 +438,44 @@
   }
 }
 
+void HostedWorld::Do(size_t index, const LossesCharged& charged) {
+  for (const TaskLosses& one : charged.tasks_) {
+    Note("lost worker ", one.task_, " ", charged.worker_.value_, " at ",
+         instances_[index].name_.value_, " ", Name(charged.cause_), " lost ",
+         static_cast<int>(one.losses_.lost_), " crashes ",
+         static_cast<int>(one.losses_.crashes_));
+  }
+  if (breakage_ == HostedBreakage::kForgetLosses) return;
+  instances_[index].desk_->NoteLosses(charged.tasks_, now_);
+  for (const uint64_t id : LinksOf(index)) {
+    SendLosses(id, links_[id].from_ == index ? Side::kOwner : Side::kDesk,
+               charged.tasks_);
+  }
+}
+
+void HostedWorld::SendLosses(uint64_t id, Side to,
+                             const std::vector<TaskLosses>& losses) {
+  SendFrame(id, to, 2, [this, id, to, losses] { ReadLosses(id, to, losses); });
+}
+
+void HostedWorld::ReadLosses(uint64_t id, Side side,
+                             const std::vector<TaskLosses>& losses) {
+  const Link& link = links_[id];
+  const size_t index = side == Side::kDesk ? link.from_ : link.to_;
+  Instance& instance = instances_[index];
+  instance.desk_->NoteLosses(losses, now_);
+  const std::vector<TaskLosses> news =
+      instance.owner_->NoteLosses(losses, now_);
+  if (side == Side::kDesk || news.empty()) return;
+  for (const uint64_t other : LinksOf(index)) {
+    const Link& session = links_[other];
+    if (session.to_ == index &&
+        instances_[session.from_].data_centre_ == instance.data_centre_) {
+      SendLosses(other, Side::kDesk, news);
+    }
+  }
+}
+
 void HostedWorld::Do(size_t index, const WorkerLost& lost) {
   instances_[index].claims_->OwnershipLost(lost.worker_);
 }
@@ -457,8 +499,11 @@
 }
 
 void HostedWorld::Do(size_t index, const UpdateWorker& update) {
-  instances_[index].owner_->Update(update.worker_, now_,
-                                   &instances_[index].owner_out_);
+  LeasedWorker worker = update.worker_;
+  if (breakage_ == HostedBreakage::kKeepCapacity) {
+    worker.capacity_.cpu_milli_ = kCpuMilli;
+  }
+  instances_[index].owner_->Update(worker, now_, &instances_[index].owner_out_);
 }
 
 void HostedWorld::Do(size_t index, const DrainWorker& retire) {
--- a/tests/unit/hosted_world_workers.cc
+++ b/tests/unit/hosted_world_workers.cc
@@ -12,7 +12,6 @@
 constexpr int64_t kHeartbeatMs = 1500;   // of the workers' entries
 constexpr int64_t kHeartbeatsMs = 4500;  // silence until a worker is unlisted
 constexpr int64_t kContactMs = 3000;     // of the users' rules
-constexpr int32_t kCpuMilli = 32000;     // of a worker that hasn't shrunk
 constexpr uint32_t kMaxCrashes = 3;      // of the users' rules
 constexpr uint32_t kMaxStartsAfterCrashes = 2;
 
@@ -176,7 +175,7 @@
   ++seen_.shrunk_;
   SetCapacity(worker, static_cast<int32_t>(Between(0, kCpuMilli)));
   const int64_t life = worker->info_.started_ms_;
-  Later(Between(1000, 8000), [this, worker, life] {
+  Later(Between(1000, 15000), [this, worker, life] {
     if (worker->up_ && worker->info_.started_ms_ == life) {
       SetCapacity(worker, kCpuMilli);
     }
--- a/tests/unit/mesh_wire_test.cc
+++ b/tests/unit/mesh_wire_test.cc
@@ -35,6 +35,20 @@
   BOOST_TEST(EncodeMesh(frame).bytes_ == bytes);
 }
 
+BOOST_AUTO_TEST_CASE(TaskLossesRoundTrip) {
+  AssignTasks assign = MakeAssign();
+  assign.tasks_[1].losses_ = {2, 1};
+  const std::string assigned = EncodeMesh(assign).bytes_;
+  const std::string told =
+      EncodeMesh(MeshTaskLosses{{{"task", {3, 2}}}}).bytes_;
+  for (const std::string& bytes : {assigned, told}) {
+    MeshFrame frame;
+    BOOST_REQUIRE(
+        DecodeMesh(std::string_view(bytes).substr(kFrameLengthBytes), &frame));
+    BOOST_TEST(EncodeMesh(frame).bytes_ == bytes);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OwnerLoadRoundTrips) {
   OwnerLoad load;
   load.draining_ = true;
