Count an inherited run for the longest lease while polls fail

Callers could see a task stopped or a worker over its resources: a new owner that found runs of the one before knew no end of their lease, so that the first lost poll took them for ended, and it started tasks beside them.

The end of such a lease is at most the platform's longest lease after the first list: from then on the worker refuses the owner before. It is kept apart from the lease that this owner grants, which would be renewed to that time.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -200,6 +200,11 @@
                      [](const Run& run) { return run.inherited_; });
 }
 
+bool WorkerScheduler::IsLeaseOver(const Worker& worker, Time now) {
+  return now > std::max(worker.lease_until_, worker.inherited_lease_until_) +
+                   kLeaseOverrun;
+}
+
 bool WorkerScheduler::InService(const Worker& worker) {
   return worker.confirmed_ && !worker.draining_ && !worker.info_->leaving_ &&
          worker.poll_failures_ < kPollFailuresToSuspend &&
@@ -317,9 +322,9 @@
                               SchedulerOutbox* out) {
   Worker* owned = FindWorker(worker.value_);
   if (owned == nullptr) return;
-  const bool lease_over = now > owned->lease_until_ + kLeaseOverrun;
   DropRuns(owned,
-           lease_over ? RunOverReason::kLeaseOver : RunOverReason::kOutOfReach,
+           IsLeaseOver(*owned, now) ? RunOverReason::kLeaseOver
+                                    : RunOverReason::kOutOfReach,
            now, out);
   workers_.erase(worker.value_);
   ++load_version_;
@@ -557,8 +562,7 @@
   losses_.Expire(now);
   for (auto& [id, worker] : workers_) {
     const bool had_runs = !worker.runs_.empty();
-    if (worker.poll_failures_ > 0 && had_runs &&
-        now > worker.lease_until_ + kLeaseOverrun) {
+    if (worker.poll_failures_ > 0 && had_runs && IsLeaseOver(worker, now)) {
       worker.confirmed_ = false;
       DropRuns(&worker, RunOverReason::kLeaseOver, now, out);
     }
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -196,6 +196,8 @@
   /// Lease granted with each start or poll; must be below the longest lease
   /// that the platform allows.
   Duration lease_{900};
+  /// Longest lease that the platform allows.
+  Duration longest_lease_{1000};
   Duration renew_below_{500};  ///< Renews a lease with less time left.
   Duration poll_wait_{1000};   ///< Longest wait of a poll for the end of a run.
   /// Callers resubmit a lost job no sooner than this after they lost it. Runs
@@ -406,7 +408,10 @@
     Time clock_read_;
     bool clock_known_ = false;
     Time lease_until_;  ///< Lease of its runs, on this process's clock.
-    Time listed_at_;    ///< Last answer that listed its runs.
+    /// Latest end of the lease of runs that an earlier owner started, which it
+    /// may have renewed until this owner's first poll.
+    Time inherited_lease_until_;
+    Time listed_at_;  ///< Last answer that listed its runs.
     uint32_t consecutive_failures_ = 0;
     uint32_t ejections_ = 0;  ///< Ejections since the last success.
     Time ejected_until_;
@@ -452,6 +457,8 @@
   /// Extends the lease of a worker. @returns its end on the worker's clock.
   int64_t RenewLease(Worker* worker, Time now) const;
   static bool HasInheritedRun(const Worker& worker);
+  /// Returns whether the leases of all runs there have certainly ended.
+  static bool IsLeaseOver(const Worker& worker, Time now);
   /// Longest time from the answer to a stop until the end of the run is listed.
   Duration StopSettleTime() const;
   /// Returns whether tasks can start there, apart from an ejection.
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -9,6 +9,8 @@
 /// Callers resubmit a lost job no sooner than this after the loss.
 constexpr Duration kResendDelay{1300};
 constexpr Duration kStopTimeout{50};
+/// Of the platform.
+constexpr Duration kLongestLease{1000};
 
 /// Workers that answer each poll with what they run.
 struct SingleRunFixture : WorkerSchedulerFixture {
@@ -104,6 +106,26 @@
   BOOST_TEST(LatestLease() == 0);
 }
 
+// Guards against starts beside a run of the previous owner that is taken for
+// ended at the first lost poll, as its lease isn't known here.
+BOOST_AUTO_TEST_CASE(AnInheritedRunCountsForTheLongestLeaseWhilePollsFail) {
+  owner_.Acquire(MakeWorker("w"), Fence{5}, now_, &out_);
+  AnswerPoll({{"00000000000000aa.0.0.0", 1, 60}});
+  const Time fenced = now_;
+  while (All<RunOver>().empty()) {
+    BOOST_REQUIRE((now_ - fenced).ms_ < 3000);
+    Advance(20);
+    const WorkerCallId poll = LatestUnansweredPoll();
+    if (!poll.valid()) continue;
+    answered_.insert(poll.value_);
+    PollEnded lost;
+    lost.call_ = poll;
+    owner_.On(lost, now_, &out_);
+  }
+  BOOST_TEST((Last<RunOver>().reason_ == RunOverReason::kLeaseOver));
+  BOOST_TEST((now_ - fenced).ms_ > kLongestLease.ms_);
+}
+
 // Guards against two runs of a task after a worker has restarted: the store
 // lists its earlier incarnation once more, and the runs of the present one
 // are taken for ended.
