--- a/tests/unit/hosted_world.cc
+++ b/tests/unit/hosted_world.cc
@@ -118,6 +118,8 @@
     Note("cut ", instances_[one].name_.value_, " ",
          instances_[other].name_.value_);
     cut_until_[one][other] = cut_until_[other][one] = until;
+    Disturb(one, until);
+    Disturb(other, until);
     return;
   }
   if (roll < 730) {
@@ -193,6 +195,11 @@
   }
 }
 
+void HostedWorld::Disturb(size_t index, Time until) {
+  Time& since = instances_[index].undisturbed_since_;
+  since = std::max(since, until);
+}
+
 void HostedWorld::Stall(size_t index, uint64_t times) {
   const int64_t ms = Between(100, kPauseMs - 1);
   if (instances_[index].up_ && instances_[index].paused_until_ <= now_) {
@@ -239,6 +246,7 @@
   instance.workers_read_ = false;
   instance.watch_held_until_ = now_;
   instance.store_read_since_ = now_;
+  Disturb(index, now_);
   instance.linked_plan_ = 0;
   instance.targets_.clear();
   instance.links_.assign(instances_.size(), 0);
@@ -283,6 +291,7 @@
   Instance& instance = instances_[index];
   if (!instance.up_ || instance.paused_until_ > now_) return;
   instance.paused_until_ = now_ + Duration{ms};
+  Disturb(index, instance.paused_until_);
   Note("pause ", instance.name_.value_, " ", ms);
   const uint64_t life = instance.life_;
   Later(ms, [this, index, life] {
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -275,6 +275,8 @@
   const Link& link = links_[id];
   LinkEnd& end = to == Side::kDesk ? links_[id].desk_ : links_[id].owner_;
   end.held_until_ = std::max(end.held_until_, now_ + Duration{ms});
+  Disturb(link.from_, end.held_until_);
+  Disturb(link.to_, end.held_until_);
   Note("hold session ", link.session_.value_,
        (to == Side::kDesk ? " to desk " : " to owner "),
        instances_[to == Side::kDesk ? link.from_ : link.to_].name_.value_,
