Answer a job whose task crashes workers as soon as that is known

The owner now reports the task at the charge and asks the worker to stop the run, in case that it is only cut off; the rest of the job is cancelled by then.

crashing_task/IsGivenUpAfterTwoCrashes failed before with this point added.

--- a/src/leased_worker.h
+++ b/src/leased_worker.h
@@ -122,7 +122,8 @@
 };
 
 /// How a task ended at the owner of its worker. When an end other than
-/// `kUnknown` or `kCancelled` is reported, no run of the task exists any more.
+/// `kUnknown`, `kCancelled` or `kCrashes` is reported, no run of the task
+/// exists any more.
 enum class TaskEnd : uint8_t {
   kDone,
   kFailed,     ///< The run ended with a fault of the task or the worker.
@@ -133,7 +134,9 @@
   /// Not accepted: the owner is leaving or has no such worker. Also a waiting
   /// task that is returned to be assigned to another owner.
   kRefused,
-  kCrashes,  ///< Given up: too many workers were lost while it ran there.
+  /// Given up: too many workers were lost while it ran there. If the last one
+  /// is only cut off, its run is being stopped.
+  kCrashes,
 };
 
 /// Stable name for logs, such as `refused`.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -226,6 +226,14 @@
                                 : stats_.workers_silenced_);
   out->push_back(LossesCharged{worker->info_->id_, cause,
                                losses_.Charge(lost, cause, lost_at, now)});
+  for (Run& run : worker->runs_) {
+    if (!run.task_ || !IsExhausted(losses_.Find(run.name_))) continue;
+    ++stats_.tasks_given_up_;
+    run.task_->started_ = true;
+    Report(*run.task_, TaskEnd::kCrashes, out);
+    Detach(&run, now);
+    RequestStop(worker, &run, "crashes-workers", now, out);
+  }
 }
 
 std::vector<TaskLosses> WorkerScheduler::NoteLosses(
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -422,6 +422,10 @@
       ended.end_ == TaskEnd::kFailed) {
     ended.end_ = TaskEnd::kLost;
   }
+  if (breakage_ == HostedBreakage::kForgetLosses &&
+      ended.end_ == TaskEnd::kCrashes) {
+    ended.end_ = TaskEnd::kLost;
+  }
   if (breakage_ == HostedBreakage::kLostLooksDone &&
       ended.end_ == TaskEnd::kLost) {
     ended.end_ = TaskEnd::kDone;
