Crash workers of the stand-in by their tasks, and know a crashing job first

hosted/AJobWhoseTaskCrashesWorkersFails and CrashesCountOnThoughTheirInstanceIs- Killed play real processes.

--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -165,6 +165,17 @@
     out->push_back(JobRejoined{spec.id_, now - job.accepted_});
     return;
   }
+  if (CrashesWorkers(spec)) {
+    ++stats_.failed_;
+    ++stats_.crashing_;
+    out->push_back(AnswerHostedJob{submit.request_,
+                                   HostedJobOutcome::kFailed,
+                                   kCrashesWorkers,
+                                   {},
+                                   {},
+                                   {}});
+    return;
+  }
   if (const std::string* coordinator = FindOpenElsewhere(spec.id_, now)) {
     // Its tasks may still run there. They have ended when the job comes again.
     if (*coordinator != self_.value_) {
@@ -179,17 +190,6 @@
                                    Slack(spec)});
     return;
   }
-  if (CrashesWorkers(spec)) {
-    ++stats_.failed_;
-    ++stats_.crashing_;
-    out->push_back(AnswerHostedJob{submit.request_,
-                                   HostedJobOutcome::kFailed,
-                                   kCrashesWorkers,
-                                   {},
-                                   {},
-                                   {}});
-    return;
-  }
   const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_);
   if (loads.empty()) {
     return Refuse(submit.request_, "no-workers", {}, {}, out);
--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -19,6 +19,10 @@
 constexpr int64_t kDeadlineMs = 3000;
 constexpr Duration kCallerWaits{kDeadlineMs};
 constexpr Duration kResendAfter{1300};
+/// Leaves time for several crashes before an answer is of no use.
+constexpr int kCrashingJobMs = 600;
+/// Workers that may crash under a task, by the users' rules.
+constexpr int kMaxCrashes = 3;
 /// Long enough to be running still when a job is sent again.
 constexpr int kLongRunMs = 1900;
 /// From a loss that the instance's kernel learns at once to the end of the
@@ -125,6 +129,15 @@
             body.dump()};
   }
 
+  /// A job whose first task crashes each worker that starts it.
+  HttpRequest CrashingJob() {
+    HttpRequest job = Job(2, kCrashingJobMs);
+    Json body = Json::parse(job.body_);
+    body["spec"] = "crash " + std::to_string(kCrashingJobMs);
+    job.body_ = body.dump();
+    return job;
+  }
+
   bool Serves(const HostedInstanceProcess& instance) {
     return Fetch(instance.callers(), Job(1, 5), Duration{2000}).status_ == 200;
   }
@@ -296,6 +309,41 @@
   }));
 }
 
+// Guards against a task that takes down one worker after the other.
+BOOST_AUTO_TEST_CASE(AJobWhoseTaskCrashesWorkersFails) {
+  const HttpRequest job = CrashingJob();
+  const HttpResponse answer = Fetch(a_.callers(), job, kCallerWaits);
+  BOOST_TEST(answer.status_ == 200);
+  BOOST_TEST(answer.body_ == R"({"state":"failed"})");
+  const Json after = Report();
+  BOOST_TEST(after["crashes"] == 2);
+  // The other instance was told of it.
+  const HttpResponse again = Fetch(b_.callers(), job, kCallerWaits);
+  BOOST_TEST(again.body_ == R"({"state":"failed"})");
+  BOOST_TEST(Report()["starts"] == after["starts"]);
+  BOOST_TEST(Load(50, [] {}) == 50U);
+  CheckRules();
+}
+
+// Guards against a count of crashes that is lost with its instance.
+BOOST_AUTO_TEST_CASE(CrashesCountOnThoughTheirInstanceIsKilled) {
+  const HttpRequest job = CrashingJob();
+  const size_t lost = caller_.Send(a_.callers(), job, kCallerWaits);
+  BOOST_REQUIRE(caller_.RunUntil([&] { return Report()["crashes"] == 1; },
+                                 Duration{1000}));
+  Wait(Duration{300});
+  a_.process().Signal(SIGKILL);
+  caller_.RunUntil([&] { return caller_.Answered(lost); }, kPatience);
+  HttpResponse answer;
+  for (int attempt = 0; attempt < 3 && answer.status_ != 200; ++attempt) {
+    Wait(kResendAfter);
+    answer = Fetch(b_.callers(), job, kCallerWaits);
+  }
+  BOOST_TEST(answer.body_ == R"({"state":"failed"})");
+  BOOST_TEST(Report()["crashes"].get<int>() <= kMaxCrashes);
+  CheckRules();
+}
+
 BOOST_AUTO_TEST_CASE(TakesOverTheWorkersOfAKilledInstance) {
   const size_t served = Load(200, [&] { a_.process().Signal(SIGKILL); });
   BOOST_TEST(served >= 140U);
--- a/tests/standins/hosted.cc
+++ b/tests/standins/hosted.cc
@@ -71,6 +71,7 @@
   int running_ = 0;  ///< Runs in progress, on all workers.
   int done_ = 0;
   int lapsed_ = 0;
+  int crashes_ = 0;     ///< Of workers, by their tasks.
   int overbooked_ = 0;  ///< Starts beyond a worker's resources.
   int twice_ = 0;       ///< Starts of a task that runs elsewhere.
   int stale_ = 0;       ///< Orders with a fence below the highest one seen.
@@ -369,7 +370,9 @@
   std::list<View> views_;
 };
 
-/// One worker. A task's payload is its run time in milliseconds.
+/// One worker. A task's payload is its run time in milliseconds. With
+/// `kCrashPayload` before it, the first task of a step ends its worker, which
+/// is back under its id after a while.
 class HostedWorker {
  public:
   HostedWorker(World* world, Store* store, int index, const Options& options)
@@ -390,20 +393,8 @@
   /// @param entry_ms Until the store lists the new life.
   void Restart(int64_t entry_ms) {
     const Address address = server_->address();
-    while (!runs_.empty()) End(runs_.begin()->first, "gone");
-    server_.reset();
-    waiting_ = RequestId{};
-    fence_ = 0;
-    lease_ = 0;
-    last_end_ = 0;
-    ended_.clear();
-    finished_.clear();
-    born_ += std::max<int64_t>(1, (world_->clock_.Now() - life_began_).ms_);
-    Listen(address);
-    if (entry_ms == 0) return Register();
-    After(world_->base_, entry_ms, [this, born = born_] {
-      if (born_ == born) Register();
-    });
+    EndLife();
+    BeginLife(address, entry_ms);
   }
 
   std::string address() const { return ToString(server_->address()); }
@@ -415,6 +406,9 @@
   static constexpr int64_t kLeaseCheckMs = 10;
   static constexpr int64_t kStopMs = 50;
   static constexpr int64_t kClockStartMs = 1000;
+  static constexpr std::string_view kCrashPayload = "crash ";
+  static constexpr int64_t kCrashAfterMs = 5;
+  static constexpr int64_t kAwayMs = 3000;
 
   struct Run {
     RunPointer record_;
@@ -424,6 +418,35 @@
     bool stopping_ = false;  ///< Takes resources, and is listed nowhere.
   };
 
+  void EndLife() {
+    while (!runs_.empty()) End(runs_.begin()->first, "gone");
+    server_.reset();
+    waiting_ = RequestId{};
+    fence_ = 0;
+    lease_ = 0;
+    last_end_ = 0;
+    ended_.clear();
+    finished_.clear();
+    born_ += std::max<int64_t>(1, (world_->clock_.Now() - life_began_).ms_);
+  }
+
+  void BeginLife(const Address& address, int64_t entry_ms) {
+    Listen(address);
+    if (entry_ms == 0) return Register();
+    After(world_->base_, entry_ms, [this, born = born_] {
+      if (born_ == born) Register();
+    });
+  }
+
+  /// Its connections end, and later ones are refused until it is back.
+  void Crash() {
+    if (server_ == nullptr) return;
+    ++world_->counts_.crashes_;
+    const Address address = server_->address();
+    EndLife();
+    After(world_->base_, kAwayMs, [this, address] { BeginLife(address, 0); });
+  }
+
   void Listen(const Address& address) {
     life_began_ = world_->clock_.Now();
     server_ = std::make_unique<HttpServer>(world_->base_, MakeEvents());
@@ -540,7 +563,16 @@
     const auto used = static_cast<int32_t>(runs_.size()) * kTaskCpu;
     if (used + kTaskCpu > cpu_milli_) ++counts.overbooked_;
     Renew(body);
-    const int64_t ms = std::stoll(body.at("spec").get<std::string>());
+    std::string payload = body.at("spec").get<std::string>();
+    if (payload.starts_with(kCrashPayload)) {
+      payload.erase(0, kCrashPayload.size());
+      if (task.ends_with(".0")) {
+        After(world_->base_, kCrashAfterMs, [this, born = born_] {
+          if (born_ == born) Crash();
+        });
+      }
+    }
+    const int64_t ms = std::stoll(payload);
     const Time now = world_->clock_.Now();
     ++counts.running_;
     runs_[task] = {record, number, now + Duration{ms}, now};
@@ -654,11 +686,11 @@
 };
 
 Json Report(const Counts& counts) {
-  return {
-      {"starts", counts.starts_},         {"done", counts.done_},
-      {"running", counts.running_},       {"lapsed", counts.lapsed_},
-      {"overbooked", counts.overbooked_}, {"twice", counts.twice_},
-      {"stale", counts.stale_},           {"after_done", counts.after_done_}};
+  return {{"starts", counts.starts_},        {"done", counts.done_},
+          {"running", counts.running_},      {"lapsed", counts.lapsed_},
+          {"crashes", counts.crashes_},      {"overbooked", counts.overbooked_},
+          {"twice", counts.twice_},          {"stale", counts.stale_},
+          {"after_done", counts.after_done_}};
 }
 
 Json ReportRuns(const World& world) {
