Agree on the owner of a worker that two records list

Callers saw fewer workers: one that nobody owned until an instance restarted.

Now all take the one that isn't draining, then the lowest name. Test: worker_ownership/InstancesAgreeOnTheOwnerOfAWorkerThatTwoRecordsList failed before (two owners instead of one).

--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -131,18 +131,26 @@
     view.instances_[self_.name_.value_] = {self_.data_centre_,
                                            self_.cpu_milli_};
   }
+  // All instances must agree on the owner of a worker that several records
+  // list: one that isn't draining, with the lowest name.
+  const auto add_workers = [&view](const InstanceRecord& record) {
+    const auto rank = [&view](const std::string& name) {
+      return std::pair(view.instances_.count(name) == 0, name);
+    };
+    const std::string& name = record.name_.value_;
+    for (const std::string& id : record.workers_) {
+      const auto [owner, added] = view.owners_.emplace(id, name);
+      if (!added && rank(name) < rank(owner->second)) owner->second = name;
+    }
+  };
   for (const auto& [name, peer] : peers_) {
     if (!peer.record_.draining_) {
       view.instances_[name] = {peer.record_.data_centre_,
                                peer.record_.cpu_milli_};
     }
-    for (const std::string& id : peer.record_.workers_) {
-      view.owners_[id] = name;
-    }
-  }
-  for (const std::string& id : self_.workers_) {
-    view.owners_[id] = self_.name_.value_;
+    add_workers(peer.record_);
   }
+  add_workers(self_);
   for (const auto& [id, worker] : listed_) {
     view.workers_[id] = worker->data_centre_;
   }
--- a/tests/unit/worker_ownership_test.cc
+++ b/tests/unit/worker_ownership_test.cc
@@ -237,6 +237,27 @@
 }
 
 // Its entry may have expired in a store outage and come back with the store.
+// Guards against a worker without an owner: the records of two instances list
+// it, and each of them plans that the other one is to own it.
+BOOST_AUTO_TEST_CASE(InstancesAgreeOnTheOwnerOfAWorkerThatTwoRecordsList) {
+  const std::set<std::string> workers = {"w1"};
+  std::set<std::string> claims;
+  for (const auto& [self, other] : {std::pair("a", "c"), std::pair("c", "a")}) {
+    WorkerOwnership one(Record(self, "west", workers), Time{0});
+    one.SetStoreUp(true);
+    one.WorkerListed(Worker("w1", "west"), now_, &out_);
+    one.InstanceListed(Record(other, "west", workers));
+    one.RecordWritten(Fence{9}, &out_);
+    for (int i = 0; i < 100; ++i) {
+      now_ = now_ + Duration{20};
+      one.Tick(
+          now_, [](const WorkerId&) { return true; }, &out_);
+    }
+    if (one.owned() > 0) claims.insert(self);
+  }
+  BOOST_TEST(claims.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(KeepsAnUnlistedWorkerForAGracePeriod) {
   ClaimAndStore(41);
   ownership_.WorkerUnlisted({"w1"}, now_);
