End a cancelled run by a lease that was granted before its cancellation

single_run/ACancelledRunEndsThoughItsCallersLossIsNoticedLate failed before; the check is that of the test beside it, with 300 ms.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -158,7 +158,10 @@
 
 void WorkerScheduler::Detach(Run* run, Time now) const {
   const auto session_limit = SessionLeaseLimit(run->task_->session_);
-  run->renewed_until_ = session_limit.value_or(ResubmissionLimit(now));
+  // The caller may have been lost for a while: no later than by a lease that
+  // was granted just before.
+  run->renewed_until_ = std::min(session_limit.value_or(ResubmissionLimit(now)),
+                                 now + limits_.lease_);
   run->task_.reset();
 }
 
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -28,6 +28,8 @@
     }
   }
 
+  void CheckCancelledRunEnds(Duration noticed_after);
+
   void Play(int64_t ms) {
     for (int64_t i = 0; i < ms; i += 20) {
       Advance(20);
@@ -63,11 +65,9 @@
   }
 };
 
-BOOST_FIXTURE_TEST_SUITE(single_run, SingleRunFixture)
-
-// Guards against two runs of a task after a cancellation: the worker leaves
-// stops unanswered but answers polls, and other runs keep its lease renewed.
-BOOST_AUTO_TEST_CASE(ACancelledRunEndsByItsLeaseWhenStopsAreUnanswered) {
+/// Checks that a run whose stops are unanswered ends before its caller sends
+/// the job again, while other runs keep the lease of its worker renewed.
+void SingleRunFixture::CheckCancelledRunEnds(Duration noticed_after) {
   AcquireAndConfirm("w");
   const AssignTasks cancelled = Assign(1);
   Assign(1);
@@ -75,7 +75,8 @@
   Advance(20);
   owner_.On(kLocalSession, CancelTasks{{cancelled.tasks_[0].serial_}}, now_,
             &out_);
-  const int64_t resubmitted = WorkerClock() + kResendDelay.ms_;
+  const int64_t resubmitted =
+      WorkerClock() - noticed_after.ms_ + kResendDelay.ms_;
   size_t stops = 0;
   for (int i = 0; i < 100; ++i) {
     Play(20);
@@ -88,6 +89,19 @@
   BOOST_TEST(LatestLease() <= resubmitted - kStopTimeout.ms_);
 }
 
+BOOST_FIXTURE_TEST_SUITE(single_run, SingleRunFixture)
+
+// Guards against two runs of a task after a cancellation: the worker leaves
+// stops unanswered but answers polls.
+BOOST_AUTO_TEST_CASE(ACancelledRunEndsByItsLeaseWhenStopsAreUnanswered) {
+  CheckCancelledRunEnds(Duration{0});
+}
+
+// The same where the loss of the caller is noticed late.
+BOOST_AUTO_TEST_CASE(ACancelledRunEndsThoughItsCallersLossIsNoticedLate) {
+  CheckCancelledRunEnds(Duration{300});
+}
+
 // Guards against two runs of a task after its coordinator and its owner were
 // killed: the next owner of the worker renews the lease of the run, whose stops
 // get no answer, past the time at which the caller submits the job again.
