Count runs for the longest lease though their own is shorter

Callers could see two runs of a task: a worker restarts unnoticed and takes the end of a lease, on its earlier clock, for the longest lease of 1 s.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -193,6 +193,8 @@
 int64_t WorkerScheduler::RenewLease(Worker* worker, Time now) const {
   const Duration lease = LeaseFor(*worker, now);
   worker->lease_until_ = std::max(worker->lease_until_, now + lease);
+  worker->longest_lease_until_ =
+      std::max(worker->longest_lease_until_, now + limits_.lease_);
   const double elapsed =
       kMinClockRate * static_cast<double>((now - worker->clock_read_).ms_);
   return worker->clock_ms_ + static_cast<int64_t>(elapsed) + lease.ms_;
@@ -204,7 +206,7 @@
 }
 
 bool WorkerScheduler::IsLeaseOver(const Worker& worker, Time now) {
-  return now > std::max(worker.lease_until_, worker.inherited_lease_until_) +
+  return now > std::max(worker.lease_until_, worker.longest_lease_until_) +
                    kLeaseOverrun;
 }
 
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -408,9 +408,10 @@
     Time clock_read_;
     bool clock_known_ = false;
     Time lease_until_;  ///< Lease of its runs, on this process's clock.
-    /// Latest end of the lease of runs that an earlier owner started, which it
-    /// may have renewed until this owner's first poll.
-    Time inherited_lease_until_;
+    /// Latest end of leases that this owner doesn't know: of runs that an
+    /// earlier owner started, which may have renewed them until this owner's
+    /// first poll, and of orders that another incarnation has carried out.
+    Time longest_lease_until_;
     Time listed_at_;  ///< Last answer that listed its runs.
     uint32_t consecutive_failures_ = 0;
     uint32_t ejections_ = 0;  ///< Ejections since the last success.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -358,8 +358,8 @@
     run.number_ = running.run_;
     run.start_seen_at_ = now;
     run.inherited_ = true;
-    worker->inherited_lease_until_ =
-        std::max(worker->inherited_lease_until_, now + limits_.longest_lease_);
+    worker->longest_lease_until_ =
+        std::max(worker->longest_lease_until_, now + limits_.longest_lease_);
     run.renewed_until_ = now;  // Its callers count from before.
     RequestStop(worker, &run, "inherited", now, out);
   }
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -140,6 +140,41 @@
   BOOST_TEST((now_ - fenced).ms_ > kLongestLease.ms_);
 }
 
+// Guards against two runs of a task: its worker has restarted unnoticed, so
+// that it takes the end of a short lease, on its earlier clock, for the longest
+// one.
+BOOST_AUTO_TEST_CASE(ARunCountsForTheLongestLeaseThoughItsOwnIsShorter) {
+  AcquireAndConfirm("w");
+  AcquireAndConfirm("x");
+  Advance(800);  // What the last poll has granted is nearly over.
+  const SessionId session{7};
+  owner_.NoteSessionAlive(session, now_ - Duration{600});
+  AssignTasks assign = Assign(0);
+  assign.start_within_ = {5000};
+  assign.give_up_after_ = {9000};
+  assign.tasks_ = {{{901}, 0}};
+  owner_.On(session, assign, now_, &out_);
+  const StartRun start = Last<StartRun>();
+  BOOST_REQUIRE(start.lease_.ms_ < 700);
+  AnswerStart(start);
+  const Time started = now_;
+  while (All<RunOver>().empty()) {
+    BOOST_REQUIRE((now_ - started).ms_ < 3000);
+    Advance(20);
+    owner_.NoteSessionAlive(session, now_);
+    for (const PollWorker& poll : All<PollWorker>()) {
+      if (poll.worker_->id_ != start.worker_->id_ ||
+          !answered_.insert(poll.call_.value_).second) {
+        continue;
+      }
+      PollEnded lost;
+      lost.call_ = poll.call_;
+      owner_.On(lost, now_, &out_);
+    }
+  }
+  BOOST_TEST((now_ - started).ms_ > kLongestLease.ms_);
+}
+
 // Guards against two runs of a task after a worker has restarted: the store
 // lists its earlier incarnation once more, and the runs of the present one
 // are taken for ended.
