Keep the resources of a start that a new incarnation may carry out

Such a start is reported as unknown, but keeps its resources until its stop is answered and a list misses it, 15 s at most, as after a restart that is known before its lease ends. A change of the incarnation also extends the time for which runs count, until lists of the new one tell.

single_run/AStartFromBeforeARestartKeepsItsResourcesWhilePollsFail failed before (2 starts beside it for 1 at most).

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -268,6 +268,7 @@
   ChargeLoss(worker, LossCause::kCrash, worker->disconnected_at_.value_or(now),
              now, out);
   worker->disconnected_at_.reset();
+  worker->longest_lease_until_ = now + limits_.longest_lease_;
   worker->incarnation_since_ = now;
   worker->clock_known_ = false;
   worker->confirmed_ = false;
@@ -541,6 +542,11 @@
   runs.swap(worker->runs_);
   worker->free_ = worker->info_->capacity_;
   for (Run& run : runs) {
+    if (reason == RunOverReason::kLeaseOver &&
+        MayStartLate(*worker, run, now)) {
+      KeepUnseenStart(worker, std::move(run), now, out);
+      continue;
+    }
     const bool crashed = reason == RunOverReason::kLeaseOver &&
                          run.charged_ == LossCause::kCrash;
     NoteOver(*worker, run, crashed ? RunOverReason::kCrashed : reason, out);
@@ -557,6 +563,23 @@
   ++load_version_;
 }
 
+bool WorkerScheduler::MayStartLate(const Worker& worker, const Run& run,
+                                   Time now) {
+  return !run.start_seen_at_ && run.sent_at_ < worker.incarnation_since_ &&
+         now - run.sent_at_ <= kLateOrderLimit;
+}
+
+void WorkerScheduler::KeepUnseenStart(Worker* worker, Run run, Time now,
+                                      SchedulerOutbox* out) {
+  if (run.task_) {
+    Report(*run.task_, TaskEnd::kUnknown, out);
+    Detach(&run, now);
+  }
+  worker->free_ -= run.need_;
+  worker->runs_.push_back(std::move(run));
+  RequestStop(worker, &worker->runs_.back(), "start-unanswered", now, out);
+}
+
 void WorkerScheduler::LoseWorker(const std::string& id, std::string_view reason,
                                  Time now, SchedulerOutbox* out) {
   out->push_back(WorkerLost{{id}, reason});
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -513,6 +513,11 @@
                   SchedulerOutbox* out);
   void NotePollFailure(Worker* worker, const PollEnded& ended, Time now,
                        SchedulerOutbox* out);
+  /// Returns whether a start may yet be carried out although its lease is over:
+  /// the worker's incarnation has changed since, whose clock starts anew.
+  static bool MayStartLate(const Worker& worker, const Run& run, Time now);
+  /// Keeps the resources of such a start until it is stopped.
+  void KeepUnseenStart(Worker* worker, Run run, Time now, SchedulerOutbox* out);
   void Eject(Worker* worker, Time now);
   void UpdateSlowness(Worker* worker, const Run& run, Time now);
   /// Reports a worker as lost and releases it.
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -175,6 +175,34 @@
   BOOST_TEST((now_ - started).ms_ > kLongestLease.ms_);
 }
 
+// Guards against starts beyond the resources of a worker that carries out a
+// start of before its restart, late and with the clock of its new incarnation.
+BOOST_AUTO_TEST_CASE(AStartFromBeforeARestartKeepsItsResourcesWhilePollsFail) {
+  AcquireAndConfirm("w");
+  Assign(1);
+  const StartRun start = Last<StartRun>();
+  AnswerStart(start, StartResult::kUnanswered);
+  Advance(20);
+  LeasedWorker restarted = MakeWorker("w");
+  restarted.started_ms_ = incarnations_["w"] = 8;
+  owner_.Update(restarted, now_, &out_);
+  size_t polls = 0;
+  for (int i = 0; i < 100; ++i) {
+    Advance(20);
+    const auto sent = All<PollWorker>();
+    for (; polls < sent.size(); ++polls) {
+      PollEnded lost;
+      lost.call_ = sent[polls].call_;
+      owner_.On(lost, now_, &out_);
+    }
+  }
+  BOOST_TEST((Last<ReportTask>().ended_.end_ == TaskEnd::kUnknown));
+  Play(400);  // Polls are answered again; stops aren't.
+  const size_t before = All<StartRun>().size();
+  Assign(2);
+  BOOST_TEST(All<StartRun>().size() <= before + 1);
+}
+
 // Guards against two runs of a task after a worker has restarted: the store
 // lists its earlier incarnation once more, and the runs of the present one
 // are taken for ended.
