Blame only tasks that were in progress as their worker crashed

A task is now blamed only if its start was answered or listed before the loss and half of its expected run time hadn't passed; a restart under the same id blames nobody, since a start may have been answered by the new incarnation. A job is told as failed only for two such crashes. Three workers lost without that still end the task, but its job times out (504, lost-too-often), and so does the same job sent again.

--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -26,6 +26,9 @@
 constexpr Duration kRetryAfter{1000};
 /// Reason of a job that failed since a task of it crashes workers.
 constexpr std::string_view kCrashesWorkers = "crashes-workers";
+/// Reason of a job that was given up since too many workers were lost under a
+/// task of it, which isn't known to have crashed them.
+constexpr std::string_view kLostTooOften = "lost-too-often";
 /// Age from which a job counts as long open: well below the delay after which a
 /// caller that lost it submits it again, so that other instances know by then.
 constexpr Duration kLongOpenAge{500};
@@ -100,16 +103,19 @@
   return "unknown";
 }
 
-bool JobCoordinator::CrashesWorkers(const HostedJob& job) const {
-  if (losses_.empty()) return false;
+std::optional<WorkerLosses> JobCoordinator::FindExhausted(
+    const HostedJob& job) const {
+  std::optional<WorkerLosses> exhausted;
+  if (losses_.empty()) return exhausted;
   for (uint32_t step = 0; step < job.steps_.size(); ++step) {
     for (uint32_t i = 0; i < job.steps_[step].count_; ++i) {
-      if (IsExhausted(losses_.Find(TaskName(StepName(job, step), i)))) {
-        return true;
-      }
+      const WorkerLosses losses =
+          losses_.Find(TaskName(StepName(job, step), i));
+      if (IsToBlame(losses)) return losses;
+      if (IsExhausted(losses)) exhausted = losses;
     }
   }
-  return false;
+  return exhausted;
 }
 
 void JobCoordinator::NoteLosses(const std::vector<TaskLosses>& losses,
@@ -165,15 +171,17 @@
     out->push_back(JobRejoined{spec.id_, now - job.accepted_});
     return;
   }
-  if (CrashesWorkers(spec)) {
-    ++stats_.failed_;
+  if (const auto exhausted = FindExhausted(spec)) {
+    const bool blamed = IsToBlame(*exhausted);
+    ++(blamed ? stats_.failed_ : stats_.timed_out_);
     ++stats_.crashing_;
-    out->push_back(AnswerHostedJob{submit.request_,
-                                   HostedJobOutcome::kFailed,
-                                   kCrashesWorkers,
-                                   {},
-                                   {},
-                                   {}});
+    out->push_back(AnswerHostedJob{
+        submit.request_,
+        blamed ? HostedJobOutcome::kFailed : HostedJobOutcome::kTimedOut,
+        blamed ? kCrashesWorkers : kLostTooOften,
+        {},
+        {},
+        {}});
     return;
   }
   if (const std::string* coordinator = FindOpenElsewhere(spec.id_, now)) {
@@ -365,6 +373,10 @@
       CancelAssigned(&job, now, out);
       ++stats_.crashing_;
       return Finish(ref.job_, HostedJobOutcome::kFailed, kCrashesWorkers, out);
+    case TaskEnd::kLostTooOften:
+      CancelAssigned(&job, now, out);
+      ++stats_.crashing_;
+      return Finish(ref.job_, HostedJobOutcome::kTimedOut, kLostTooOften, out);
   }
   if (task.reassignments_ > kMaxReassignments) {
     return Abandon(ref.job_, "moved-often", now, out);
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -123,7 +123,7 @@
   uint64_t tasks_assigned_ = 0;
   /// Tasks assigned again after an owner reported them as not done.
   uint64_t tasks_reassigned_ = 0;
-  uint64_t crashing_ = 0;  ///< Failed, as a task of theirs crashes workers.
+  uint64_t crashing_ = 0;  ///< Given up, as workers were lost under a task.
 };
 
 /// Jobs accepted by this instance, and the last known state of all owners.
@@ -234,8 +234,9 @@
   };
 
   bool FitsSomewhere(const HostedJob& job) const;
-  /// Returns whether too many workers were lost under any task of a job.
-  bool CrashesWorkers(const HostedJob& job) const;
+  /// Returns the losses of a task of a job that has to be given up for them, if
+  /// there is any.
+  std::optional<WorkerLosses> FindExhausted(const HostedJob& job) const;
   /// Returns the instance at which a job is open or may still have runs; null
   /// if none is known.
   const std::string* FindOpenElsewhere(const std::string& id, Time now) const;
--- a/src/leased_worker.h
+++ b/src/leased_worker.h
@@ -122,8 +122,8 @@
 };
 
 /// How a task ended at the owner of its worker. When an end other than
-/// `kUnknown`, `kCancelled` or `kCrashes` is reported, no run of the task
-/// exists any more.
+/// `kUnknown`, `kCancelled`, `kCrashes` or `kLostTooOften` is reported, no run
+/// of the task exists any more.
 enum class TaskEnd : uint8_t {
   kDone,
   kFailed,     ///< The run ended with a fault of the task or the worker.
@@ -134,9 +134,12 @@
   /// Not accepted: the owner is leaving or has no such worker. Also a waiting
   /// task that is returned to be assigned to another owner.
   kRefused,
-  /// Given up: too many workers were lost while it ran there. If the last one
-  /// is only cut off, its run is being stopped.
+  /// Given up: it crashes workers. If the last one is only cut off, its run is
+  /// being stopped.
   kCrashes,
+  /// Given up as well: too many workers were lost while it ran there, but it
+  /// isn't known to have crashed them.
+  kLostTooOften,
 };
 
 /// Stable name for logs, such as `refused`.
@@ -158,6 +161,8 @@
       return "refused";
     case TaskEnd::kCrashes:
       return "crashes";
+    case TaskEnd::kLostTooOften:
+      return "lost-too-often";
   }
   return "unknown";
 }
--- a/src/task_losses.cc
+++ b/src/task_losses.cc
@@ -44,14 +44,11 @@
 std::vector<TaskLosses> TaskLossLedger::Charge(const std::vector<LostRun>& runs,
                                                LossCause cause, Time lost_at,
                                                Time now) {
-  const auto just_started = [&](const LostRun& run) {
-    return lost_at - run.sent_at_ <= kCrashWindow;
-  };
-  const bool any_just_started =
-      std::any_of(runs.begin(), runs.end(), just_started);
+  // Neither a start that met a worker which was already gone, nor a run that
+  // had ended, shows anything.
   const auto suspected = [&](const LostRun& run) {
-    return cause == LossCause::kCrash &&
-           (!any_just_started || just_started(run));
+    return cause == LossCause::kCrash && run.running_ &&
+           lost_at - run.sent_at_ <= kCrashWindow;
   };
   uint8_t most_crashes = 0;
   for (const LostRun& run : runs) {
--- a/src/task_losses.h
+++ b/src/task_losses.h
@@ -24,10 +24,15 @@
 inline constexpr uint8_t kMaxBlamedCrashes = 2;
 inline constexpr uint8_t kMaxLostWorkers = 3;
 
+/// Returns whether workers have crashed under a task so often that its job may
+/// be told as failed.
+constexpr bool IsToBlame(const WorkerLosses& losses) {
+  return losses.crashes_ >= kMaxBlamedCrashes;
+}
+
 /// Returns whether a task has to be given up.
 constexpr bool IsExhausted(const WorkerLosses& losses) {
-  return losses.crashes_ >= kMaxBlamedCrashes ||
-         losses.lost_ >= kMaxLostWorkers;
+  return IsToBlame(losses) || losses.lost_ >= kMaxLostWorkers;
 }
 
 /// Losses of one task, as instances tell each other.
@@ -38,19 +43,29 @@
 
 /// What is known of a worker that was lost.
 enum class LossCause : uint8_t {
-  kCrash,    ///< Nothing listens at its address, or it has restarted.
+  kCrash,    ///< Its connections ended, and nothing listens at its address.
+  kRestart,  ///< It has restarted; what it was running then isn't known.
   kSilence,  ///< It doesn't answer; it may have crashed or be cut off.
 };
 
 /// Stable name for logs, such as `crash`.
 constexpr std::string_view Name(LossCause cause) {
-  return cause == LossCause::kCrash ? "crash" : "silence";
+  switch (cause) {
+    case LossCause::kCrash:
+      return "crash";
+    case LossCause::kRestart:
+      return "restart";
+    case LossCause::kSilence:
+      break;
+  }
+  return "silence";
 }
 
 /// Run on a worker that was lost.
 struct LostRun {
   std::string task_;
-  Time sent_at_;  ///< When its start was sent.
+  Time sent_at_;          ///< When its start was sent.
+  bool running_ = false;  ///< Known to have been in progress at the loss.
 };
 
 /// Losses of tasks, each kept for a while after it last changed.
@@ -67,8 +82,8 @@
   bool Merge(const TaskLosses& known, Time now);
 
   /// Charges the loss of a worker to all that ran there. Of a crash, those
-  /// tasks are blamed that are likeliest to have caused it: they had just been
-  /// started, and have the most crashes already.
+  /// tasks are blamed that are likeliest to have caused it: they had just
+  /// begun, and have the most crashes already. It may be none.
   /// @param lost_at When the loss was noticed.
   /// @returns the new counts of all tasks that were charged.
   std::vector<TaskLosses> Charge(const std::vector<LostRun>& runs,
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -265,8 +265,7 @@
   earlier.push_back(earlier_ms);
   if (earlier.size() > kMaxEarlierIncarnations) earlier.erase(earlier.begin());
   worker->last_seen_ = 0;
-  ChargeLoss(worker, LossCause::kCrash, worker->disconnected_at_.value_or(now),
-             now, out);
+  ChargeLoss(worker, LossCause::kRestart, now, now, out);
   worker->disconnected_at_.reset();
   worker->longest_lease_until_ = now + limits_.longest_lease_;
   worker->incarnation_since_ = now;
@@ -375,8 +374,7 @@
     }
     losses_.Merge({task.name_, assigned.losses_}, now);
     if (IsExhausted(losses_.Find(task.name_))) {
-      ++stats_.tasks_given_up_;
-      Report(task, TaskEnd::kCrashes, out);
+      GiveUp(task, out);
       continue;
     }
     if (queue_.size() >= kMaxWaitingTasks) {
@@ -547,8 +545,8 @@
       KeepUnseenStart(worker, std::move(run), now, out);
       continue;
     }
-    const bool crashed = reason == RunOverReason::kLeaseOver &&
-                         run.charged_ == LossCause::kCrash;
+    const bool crashed = reason == RunOverReason::kLeaseOver && run.charged_ &&
+                         run.charged_ != LossCause::kSilence;
     NoteOver(*worker, run, crashed ? RunOverReason::kCrashed : reason, out);
     if (!run.start_seen_at_) RememberVoided(worker, run, now);
     if (reason != RunOverReason::kOutOfReach) ++stats_.runs_inferred_over_;
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -343,6 +343,7 @@
     std::string name_;
     uint32_t number_ = 1;
     Resources need_;
+    Duration expected_run_time_;
     RunState state_ = RunState::kStarting;
     std::optional<Task> task_;  ///< Absent when no session awaits its end.
     Time sent_at_;
@@ -508,9 +509,14 @@
   /// reason is `kOutOfReach`, and queued again if not.
   void DropRuns(Worker* worker, RunOverReason reason, Time now,
                 SchedulerOutbox* out);
+  /// Returns whether a run must have been in progress: it had begun, and can't
+  /// have ended yet.
+  static bool WasRunning(const Run& run, Time at);
   /// Charges the tasks that run there with its loss, each once.
   void ChargeLoss(Worker* worker, LossCause cause, Time lost_at, Time now,
                   SchedulerOutbox* out);
+  /// Reports a task under which too many workers were lost.
+  void GiveUp(const Task& task, SchedulerOutbox* out);
   void NotePollFailure(Worker* worker, const PollEnded& ended, Time now,
                        SchedulerOutbox* out);
   /// Returns whether a start may yet be carried out although its lease is over:
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -36,6 +36,9 @@
 /// Share of the expected run time before which progress is not checked.
 constexpr double kMinProgressShare = 0.85;
 
+/// Share of its expected run time that a run takes at least.
+constexpr double kMinRunTimeShare = 0.5;
+
 RunOverReason ToReason(RunEnd end) {
   switch (end) {
     case RunEnd::kDone:
@@ -213,29 +216,43 @@
   ChargeLoss(worker, LossCause::kCrash, *worker->disconnected_at_, now, out);
 }
 
+bool WorkerScheduler::WasRunning(const Run& run, Time at) {
+  const double earliest_end =
+      kMinRunTimeShare * static_cast<double>(run.expected_run_time_.ms_);
+  return run.start_seen_at_ && *run.start_seen_at_ <= at &&
+         static_cast<double>((at - run.sent_at_).ms_) < earliest_end;
+}
+
 void WorkerScheduler::ChargeLoss(Worker* worker, LossCause cause, Time lost_at,
                                  Time now, SchedulerOutbox* out) {
   std::vector<LostRun> lost;
   for (Run& run : worker->runs_) {
     if (run.charged_) continue;
     run.charged_ = cause;
-    lost.push_back({run.name_, run.sent_at_});
+    lost.push_back({run.name_, run.sent_at_, WasRunning(run, lost_at)});
   }
   if (lost.empty()) return;
-  ++(cause == LossCause::kCrash ? stats_.workers_crashed_
-                                : stats_.workers_silenced_);
+  ++(cause == LossCause::kSilence ? stats_.workers_silenced_
+                                  : stats_.workers_crashed_);
   out->push_back(LossesCharged{worker->info_->id_, cause,
                                losses_.Charge(lost, cause, lost_at, now)});
   for (Run& run : worker->runs_) {
     if (!run.task_ || !IsExhausted(losses_.Find(run.name_))) continue;
-    ++stats_.tasks_given_up_;
     run.task_->started_ = true;
-    Report(*run.task_, TaskEnd::kCrashes, out);
+    GiveUp(*run.task_, out);
     Detach(&run, now);
     RequestStop(worker, &run, "crashes-workers", now, out);
   }
 }
 
+void WorkerScheduler::GiveUp(const Task& task, SchedulerOutbox* out) {
+  ++stats_.tasks_given_up_;
+  Report(task,
+         IsToBlame(losses_.Find(task.name_)) ? TaskEnd::kCrashes
+                                             : TaskEnd::kLostTooOften,
+         out);
+}
+
 std::vector<TaskLosses> WorkerScheduler::NoteLosses(
     const std::vector<TaskLosses>& losses, Time now) {
   std::vector<TaskLosses> news;
--- a/src/worker_scheduler_queue.cc
+++ b/src/worker_scheduler_queue.cc
@@ -31,8 +31,7 @@
 void WorkerScheduler::Requeue(Task task, const Worker& worker, Time now,
                               SchedulerOutbox* out) {
   if (IsExhausted(losses_.Find(task.name_))) {
-    ++stats_.tasks_given_up_;
-    return Report(task, TaskEnd::kCrashes, out);
+    return GiveUp(task, out);
   }
   if (now >= task.batch_->give_up_at_) {
     return Report(task, TaskEnd::kExpired, out);
@@ -164,6 +163,7 @@
   run.name_ = task.name_;
   run.number_ = ++task.run_count_;
   run.need_ = task.batch_->assign_.need_;
+  run.expected_run_time_ = task.batch_->assign_.expected_run_time_;
   task.batch_->job_started_ = true;
   run.sent_at_ = now;
   worker->free_ -= run.need_;
--- a/tests/schedule/hosted_schedule.cc
+++ b/tests/schedule/hosted_schedule.cc
@@ -61,6 +61,8 @@
       return "ends-before-resend";
     case HostedRule::kCrashes:
       return "crashes";
+    case HostedRule::kFailedIsTrue:
+      return "failed-is-true";
   }
   return "unknown";
 }
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -56,6 +56,9 @@
   /// A task isn't started three times more, by instances in touch, after three
   /// workers have crashed while it ran there.
   kCrashes,
+  /// A job is told as failed only if a task of it failed as often as it may, or
+  /// ran on two workers as they crashed.
+  kFailedIsTrue,
 };
 
 struct HostedViolation {
@@ -418,6 +421,7 @@
   void CheckStart(const Worker& worker, const std::string& task, uint64_t order,
                   size_t owner);
   void CheckCrashes(const std::string& task, size_t owner);
+  void CheckFailed(const std::string& id);
   void TakeNote(const WorkerId& worker, const PollEnded& ended);
   void CheckFailures(const std::string& task, uint64_t start_order);
 
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -360,6 +360,7 @@
     }
     case HostedJobOutcome::kFailed:
       ++seen_.failed_;
+      CheckFailed(request.job_);
       if (!job.deadly_.empty()) ++seen_.failed_deadly_;
       break;
     case HostedJobOutcome::kNotRun:
--- a/tests/unit/hosted_world_workers.cc
+++ b/tests/unit/hosted_world_workers.cc
@@ -296,6 +296,18 @@
   }
 }
 
+void HostedWorld::CheckFailed(const std::string& id) {
+  const CallerJob& job = jobs_[id];
+  const bool failed = std::any_of(
+      job.failures_.begin(), job.failures_.end(), [&](const auto& entry) {
+        return entry.second.size() >= job.spec_.max_failures_;
+      });
+  const bool crashed = std::any_of(
+      job.crashes_.begin(), job.crashes_.end(),
+      [](const auto& entry) { return entry.second >= kMaxBlamedCrashes; });
+  if (!failed && !crashed) Violate(HostedRule::kFailedIsTrue, id);
+}
+
 void HostedWorld::Do(size_t index, const StopRun& stop) {
   const uint64_t life = instances_[index].life_;
   const bool lost =
