--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <system_error>
 
 namespace gentiandeal::process {
 namespace {
@@ -60,7 +61,8 @@
   std::string pattern =
       (std::filesystem::temp_directory_path() / "gentiandeal-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) {
-    throw std::runtime_error("no temporary folder");
+    throw std::system_error(errno, std::generic_category(),
+                            "no temporary folder " + pattern);
   }
   path_ = pattern;
 }
