Tell a full ledger of losses, and send all of it

More suspects than one message may hold were cut to 4,096 without a word, and a full ledger forgot its oldest tasks silently. Losses are now split over as many messages as they need (mesh_wire/LossesOfManyTasksNeedSeveralMessages), and an eviction is logged as task-losses-evicted with its limit.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -284,7 +284,7 @@
       }
     };
     events.task_losses_ = [this](const MeshTaskLosses& losses, bool relayed) {
-      coordinator_.NoteLosses(losses.tasks_, clock_.Now());
+      NoteLosses(losses.tasks_);
       const MeshTaskLosses news{
           scheduler_.NoteLosses(losses.tasks_, clock_.Now())};
       if (!relayed && !news.tasks_.empty()) mesh_.RelayTaskLosses(news);
@@ -315,8 +315,18 @@
 
   /// What was told while an instance wasn't connected, or before its restart.
   void SendSuspectTasks(const InstanceName& peer) {
-    MeshTaskLosses suspects{coordinator_.SuspectTasks()};
-    if (!suspects.tasks_.empty()) mesh_.SendToPeer(peer, std::move(suspects));
+    for (const auto& message : SplitTaskLosses(coordinator_.SuspectTasks())) {
+      mesh_.SendToPeer(peer, message);
+    }
+  }
+
+  void NoteLosses(const std::vector<TaskLosses>& losses) {
+    const uint64_t evicted_before = coordinator_.losses_evicted();
+    coordinator_.NoteLosses(losses, clock_.Now());
+    if (coordinator_.losses_evicted() == evicted_before) return;
+    spdlog::warn("event=task-losses-evicted evicted={} limit={}",
+                 coordinator_.losses_evicted() - evicted_before,
+                 TaskLossLedger::kMaxTasks);
   }
 
   // Commands may cause further commands; those are executed afterwards, without
@@ -440,8 +450,10 @@
           one.task_, charged.worker_.value_, Name(charged.cause_),
           one.losses_.lost_, one.losses_.crashes_);
     }
-    coordinator_.NoteLosses(charged.tasks_, clock_.Now());
-    mesh_.SendTaskLosses({charged.tasks_});
+    NoteLosses(charged.tasks_);
+    for (const auto& message : SplitTaskLosses(charged.tasks_)) {
+      mesh_.SendTaskLosses(message);
+    }
   }
   void Execute(const WorkerRestarted& worker) {
     spdlog::warn("event=worker-restarted worker={} from={} to={} runs={}",
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -152,6 +152,8 @@
   void NoteLosses(const std::vector<TaskLosses>& losses, Time now);
   /// Returns the losses that an instance needs to know once it is connected.
   std::vector<TaskLosses> SuspectTasks() const { return losses_.Suspects(); }
+  /// Number of tasks whose losses were forgotten for lack of space.
+  uint64_t losses_evicted() const { return losses_.evicted(); }
   /// Ends a job whose caller has submitted it to another instance.
   void Recall(const std::string& id, Time now, CoordinatorOutbox* out);
 
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -139,6 +139,19 @@
 
 }  // namespace
 
+std::vector<MeshTaskLosses> SplitTaskLosses(
+    const std::vector<TaskLosses>& all) {
+  std::vector<MeshTaskLosses> messages;
+  for (const TaskLosses& one : all) {
+    if (messages.empty() ||
+        messages.back().tasks_.size() == config::kMaxTasksPerMessage) {
+      messages.emplace_back();
+    }
+    messages.back().tasks_.push_back(one);
+  }
+  return messages;
+}
+
 EncodedFrame EncodeMesh(const MeshFrame& frame) {
   return {EncodeWithLength(kMeshFormat, frame), frame.index()};
 }
--- a/src/mesh_wire.h
+++ b/src/mesh_wire.h
@@ -57,6 +57,9 @@
   std::vector<TaskLosses> tasks_;
 };
 
+/// Splits losses into as many messages as they need.
+std::vector<MeshTaskLosses> SplitTaskLosses(const std::vector<TaskLosses>& all);
+
 using MeshFrame =
     std::variant<MeshHello, AssignTasks, CancelTasks, MeshTasksEnded, OwnerLoad,
                  MeshHeartbeat, MeshOpenJobs, MeshRecallJob, MeshTaskLosses>;
--- a/src/task_losses.cc
+++ b/src/task_losses.cc
@@ -24,6 +24,7 @@
 void TaskLossLedger::Set(const std::string& task, const WorkerLosses& losses,
                          Time now) {
   if (tasks_.size() >= kMaxTasks && tasks_.count(task) == 0) {
+    ++evicted_;
     tasks_.erase(std::min_element(tasks_.begin(), tasks_.end(),
                                   [](const auto& a, const auto& b) {
                                     return a.second.until_ < b.second.until_;
@@ -71,7 +72,6 @@
 std::vector<TaskLosses> TaskLossLedger::Suspects() const {
   std::vector<TaskLosses> suspects;
   for (const auto& [task, entry] : tasks_) {
-    if (suspects.size() >= config::kMaxTasksPerMessage) break;
     if (entry.losses_.crashes_ > 0 || entry.losses_.lost_ > 1) {
       suspects.push_back({task, entry.losses_});
     }
--- a/src/task_losses.h
+++ b/src/task_losses.h
@@ -76,6 +76,8 @@
   static constexpr size_t kMaxTasks = 16384;
 
   bool empty() const { return tasks_.empty(); }
+  /// Number of tasks that were forgotten before their time, for `kMaxTasks`.
+  uint64_t evicted() const { return evicted_; }
   WorkerLosses Find(const std::string& task) const;
 
   /// Takes in what another instance knows. @returns whether it was news.
@@ -106,6 +108,7 @@
 
   std::unordered_map<std::string, Entry> tasks_;
   Time expired_at_;
+  uint64_t evicted_ = 0;
 };
 
 }  // namespace gentiandeal
--- a/tests/unit/mesh_wire_test.cc
+++ b/tests/unit/mesh_wire_test.cc
@@ -49,6 +49,22 @@
   }
 }
 
+// Guards against a list that is cut to what one message may hold.
+BOOST_AUTO_TEST_CASE(LossesOfManyTasksNeedSeveralMessages) {
+  const std::vector<TaskLosses> all(config::kMaxTasksPerMessage + 1,
+                                    TaskLosses{"task", {1, 1}});
+  const std::vector<MeshTaskLosses> messages = SplitTaskLosses(all);
+  BOOST_REQUIRE(messages.size() == 2U);
+  BOOST_TEST(messages[1].tasks_.size() == 1U);
+  for (const MeshTaskLosses& message : messages) {
+    const std::string bytes = EncodeMesh(message).bytes_;
+    MeshFrame frame;
+    BOOST_TEST(
+        DecodeMesh(std::string_view(bytes).substr(kFrameLengthBytes), &frame));
+  }
+  BOOST_TEST(SplitTaskLosses({}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(OwnerLoadRoundTrips) {
   OwnerLoad load;
   load.draining_ = true;
--- a/tests/unit/task_losses_test.cc
+++ b/tests/unit/task_losses_test.cc
@@ -106,6 +106,7 @@
     ledger.Merge({"task" + std::to_string(i), {1, 1}}, kNow + Duration{1});
   }
   BOOST_TEST((ledger.Find("oldest") == WorkerLosses{}));
+  BOOST_TEST(ledger.evicted() == 1U);
   BOOST_TEST(!ledger.empty());
   ledger.Expire(kNow + TaskLossLedger::kMemory + Duration{1});
   BOOST_TEST(ledger.empty());
