--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -143,6 +143,9 @@
       "bounds":{"grace_s":4.5,"max_hold_ms":800,"stop_timeout_ms":70,
                 "resend_ms":2600}})";
   BOOST_REQUIRE(!ParseProcessSettings(text, &settings, &detail));
+  const WorkerSchedulerLimits limits = SchedulerLimits(settings);
+  BOOST_TEST(limits.lease_.ms_ == 700);
+  BOOST_TEST(limits.longest_lease_.ms_ == 800);
   BOOST_TEST(settings.cpu_milli_ == 240);
   BOOST_TEST(settings.link_rate_.bytes_per_s_ == 3125000);
   BOOST_TEST(settings.grace_.ms_ == 4500);
