Blame a crash only if a connection to the worker has ended

A worker may refuse a connection while it answers on another one, as at the limit of its connections: a refused start and a refused poll were taken for a crash, two of which would report a job as failed. Now a poll's connection must have ended before; another incarnation's answer counts as a lost worker, and blames nobody. crashing_task/IsNotChargedWhileAConnectionToItsWorkerIsOpen failed before.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -213,7 +213,7 @@
 bool WorkerScheduler::InService(const Worker& worker) {
   return worker.confirmed_ && !worker.draining_ && !worker.info_->leaving_ &&
          worker.poll_failures_ < kPollFailuresToSuspend &&
-         !worker.disconnected_at_ && !HasInheritedRun(worker);
+         !worker.disconnected_ && !HasInheritedRun(worker);
 }
 
 bool WorkerScheduler::Usable(const Worker& worker, Time now) {
@@ -266,7 +266,8 @@
   if (earlier.size() > kMaxEarlierIncarnations) earlier.erase(earlier.begin());
   worker->last_seen_ = 0;
   ChargeLoss(worker, LossCause::kRestart, now, now, out);
-  worker->disconnected_at_.reset();
+  worker->disconnected_ = false;
+  worker->connection_ended_at_.reset();
   worker->longest_lease_until_ = now + limits_.longest_lease_;
   worker->incarnation_since_ = now;
   worker->clock_known_ = false;
@@ -597,7 +598,7 @@
         SendPoll(&worker, /*immediate=*/true, now, out);
       }
       // One poll at a time is enough to find that connections are refused.
-      if (!worker.poll_pending_ && !worker.disconnected_at_) {
+      if (!worker.poll_pending_ && !worker.disconnected_) {
         SendPoll(&worker, /*immediate=*/false, now, out);
       }
     }
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -230,8 +230,8 @@
   uint64_t runs_inferred_over_ = 0;
   uint64_t ejections_ = 0;        ///< Times a failing worker was ejected.
   uint64_t workers_crashed_ = 0;  ///< While they ran tasks.
-  uint64_t workers_silenced_ =
-      0;  ///< While they ran tasks, until their lease ended.
+  /// Silent workers whose runs were taken for over at the end of their lease.
+  uint64_t workers_silenced_ = 0;
   uint64_t tasks_given_up_ = 0;  ///< Too many workers were lost under them.
 };
 
@@ -401,8 +401,12 @@
     bool poll_pending_ = false;
     bool immediate_poll_pending_ = false;
     uint32_t poll_failures_ = 0;  ///< Consecutive polls without a list.
-    /// Since when its connections end or are refused.
-    std::optional<Time> disconnected_at_;
+    /// It gets no tasks, as a connection to it ended or was refused since its
+    /// last list.
+    bool disconnected_ = false;
+    /// When a connection to it was first seen to have ended since its last
+    /// list.
+    std::optional<Time> connection_ended_at_;
     Time next_poll_at_;
     uint64_t last_seen_ = 0;  ///< Number of the last end that was processed.
     int64_t clock_ms_ = 0;    ///< The worker's clock at `clock_read_`.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -108,9 +108,7 @@
   if (ended.result_ == StartResult::kOtherIncarnation) {
     worker->confirmed_ = false;
   }
-  if (ended.result_ == StartResult::kNotSent && !worker->disconnected_at_) {
-    worker->disconnected_at_ = now;
-  }
+  if (ended.result_ == StartResult::kNotSent) worker->disconnected_ = true;
   if (task) {
     if (ended.result_ == StartResult::kRejected) {
       Report(*task, TaskEnd::kFailed, out);
@@ -172,7 +170,8 @@
   const uint64_t version = load_version_;
   const bool was_usable = Usable(*worker, now);
   worker->poll_failures_ = 0;
-  worker->disconnected_at_.reset();
+  worker->disconnected_ = false;
+  worker->connection_ended_at_.reset();
   // Answers on two connections may arrive out of order.
   const bool newest =
       !worker->clock_known_ || ended.clock_ms_ >= worker->clock_ms_;
@@ -210,10 +209,18 @@
       now + std::min(Duration{kPollBackoff.ms_ << doublings}, kMaxPollBackoff);
   ++load_version_;
   if (ended.result_ == PollResult::kUnanswered) return;
-  if (!worker->disconnected_at_) worker->disconnected_at_ = now;
-  // A connection may end for other reasons than its process.
-  if (ended.result_ == PollResult::kDisconnected) return;
-  ChargeLoss(worker, LossCause::kCrash, *worker->disconnected_at_, now, out);
+  worker->disconnected_ = true;
+  if (ended.result_ == PollResult::kOtherIncarnation) {
+    return ChargeLoss(worker, LossCause::kRestart, now, now, out);
+  }
+  // Only both tell that its process is gone: connections end and are refused
+  // for other reasons as well.
+  if (ended.result_ == PollResult::kDisconnected) {
+    if (!worker->connection_ended_at_) worker->connection_ended_at_ = now;
+  } else if (worker->connection_ended_at_) {
+    ChargeLoss(worker, LossCause::kCrash, *worker->connection_ended_at_, now,
+               out);
+  }
 }
 
 bool WorkerScheduler::WasRunning(const Run& run, Time at) {
--- a/tests/unit/crashing_task_test.cc
+++ b/tests/unit/crashing_task_test.cc
@@ -139,6 +139,23 @@
   BOOST_TEST((Last<RunOver>().reason_ == RunOverReason::kCrashed));
 }
 
+// A worker may refuse a connection for other reasons than that it is gone.
+BOOST_AUTO_TEST_CASE(IsNotChargedWhileAConnectionToItsWorkerIsOpen) {
+  Acquire("w1");
+  AssignLong(2);
+  const auto starts = All<StartRun>();
+  BOOST_REQUIRE(starts.size() == 2U);
+  AnswerStart(starts[0]);
+  const size_t polls = All<PollWorker>().size();
+  AnswerStart(starts[1], StartResult::kNotSent);
+  BOOST_REQUIRE(All<PollWorker>().size() == polls + 1);
+  PollEnded refused;
+  refused.call_ = Last<PollWorker>().call_;
+  refused.result_ = PollResult::kRefused;
+  owner_.On(refused, now_, &out_);
+  BOOST_TEST(All<LossesCharged>().empty());
+}
+
 // A connection that was reset is no crash.
 BOOST_AUTO_TEST_CASE(IsNotChargedForAWorkerThatAnswersAfterAReset) {
   Acquire("w1");
@@ -270,7 +287,7 @@
   BOOST_TEST(coordinator_.idle());
 }
 
-// Guards against a job that is told as failed although it could be done.
+// Guards against a job that is reported as failed although it could be done.
 BOOST_AUTO_TEST_CASE(TimesOutIfItsTasksAreNotKnownToCrashWorkers) {
   Submit("job");
   const AssignTasks assign = Last<SendAssign>().assign_;
