--- a/src/mesh_wire.h
+++ b/src/mesh_wire.h
@@ -51,8 +51,10 @@
   std::string id_;
 };
 
-/// Workers lost under tasks. From an owner to all instances that it is
-/// connected to; owners that receive it so pass it on within their data centre.
+/// Workers lost under tasks. An owner sends the losses of its own workers to
+/// all instances that it is connected to. An owner that receives them as the
+/// acceptor of a connection passes on what is new to the instances of its data
+/// centre. Both ends of a new connection send what they know.
 struct MeshTaskLosses {
   std::vector<TaskLosses> tasks_;
 };
--- a/src/task_losses.h
+++ b/src/task_losses.h
@@ -24,8 +24,8 @@
 inline constexpr uint8_t kMaxBlamedCrashes = 2;
 inline constexpr uint8_t kMaxLostWorkers = 3;
 
-/// Returns whether workers have crashed under a task so often that its job may
-/// be told as failed.
+/// Returns whether workers have crashed under a task so often that its job
+/// fails.
 constexpr bool IsToBlame(const WorkerLosses& losses) {
   return losses.crashes_ >= kMaxBlamedCrashes;
 }
@@ -44,7 +44,7 @@
 /// What is known of a worker that was lost.
 enum class LossCause : uint8_t {
   kCrash,    ///< Its connections ended, and nothing listens at its address.
-  kRestart,  ///< It has restarted; what it was running then isn't known.
+  kRestart,  ///< Another incarnation answers; what it ran then isn't known.
   kSilence,  ///< It doesn't answer; it may have crashed or be cut off.
 };
 
@@ -84,8 +84,8 @@
   bool Merge(const TaskLosses& known, Time now);
 
   /// Charges the loss of a worker to all that ran there. Of a crash, those
-  /// tasks are blamed that are likeliest to have caused it: they had just
-  /// begun, and have the most crashes already. It may be none.
+  /// tasks are blamed that are likeliest to have caused it, if there are any:
+  /// they had just begun, and have the most crashes already.
   /// @param lost_at When the loss was noticed.
   /// @returns the new counts of all tasks that were charged.
   std::vector<TaskLosses> Charge(const std::vector<LostRun>& runs,
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -56,8 +56,8 @@
   /// A task isn't started three times more, by instances in touch, after three
   /// workers have crashed while it ran there.
   kCrashes,
-  /// A job is told as failed only if a task of it failed as often as it may, or
-  /// ran on two workers as they crashed.
+  /// A job is reported as failed only if a task of it failed as often as it
+  /// may, or ran on two workers as they crashed.
   kFailedIsTrue,
 };
 
@@ -411,7 +411,8 @@
   /// Whether an instance has read the store for so long that it must know what
   /// workers say of themselves.
   bool ReadsStore(size_t index) const;
-  /// As the users' rules say it of machines.
+  /// Whether nothing has happened to an instance, its links or its path to the
+  /// store for the time after which rules with a time bound hold for it.
   bool InTouch(size_t index) const;
   void Disturb(size_t index, Time until);
   void Return(Worker* worker, bool under_its_id);
