Close idle connections to an address that has gone silent

What operators see: after all open connections of an instance went silent at one moment, its watch of workers fails for 2.4 s, and once more for each idle connection, since a repetition takes the next one.

Cause: a time-out closed only the connection of its own exchange.

Evidence: http_client/ARepetitionAvoidsConnectionsThatWentSilentTogether fails without the change (the repetition opens no connection) and passes with it. That the users' DRAIN came from this is not shown.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -208,11 +208,23 @@
   } else {
     self->FreeLater(exchange->connection_);
   }
+  // Whatever silenced an open connection has probably silenced the others that
+  // were open then. A repetition must not wait for each of them in turn.
+  if (response.failure_ == HttpFailure::kTimeout && !exchange->connects_) {
+    self->DropIdle(exchange->to_);
+  }
   const Done done = std::move(exchange->done_);
   self->exchanges_.erase(exchange->id_);
   done(response);
 }
 
+void HttpClient::DropIdle(const Address& to) {
+  const auto found = idle_.find(to);
+  if (found == idle_.end()) return;
+  for (evhttp_connection* connection : found->second) FreeLater(connection);
+  idle_.erase(found);
+}
+
 void HttpClient::Cancel(ExchangeId id) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -101,6 +101,8 @@
   static void OnDone(evhttp_request* request, void* arg);
   HttpFailure FailureOf(const Exchange& exchange) const;
   evhttp_connection* TakeConnection(const Address& to);
+  /// Closes the idle connections to an address.
+  void DropIdle(const Address& to);
   void FailLater(ExchangeId id);
   void FreeLater(evhttp_connection* connection);
 
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -9,8 +9,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "event_base.h"
+#include "test_sockets.h"
 
 namespace gentiandeal {
 namespace {
@@ -40,8 +42,10 @@
   }
   ~StandingListener() { close(socket_); }
   uint16_t port() const { return port_; }
+  /// @returns an accepted connection, or -1 if there is none.
+  int Accept() const { return accept(socket_, nullptr, nullptr); }
   bool HasConnection() const {
-    const int accepted = accept(socket_, nullptr, nullptr);
+    const int accepted = Accept();
     if (accepted >= 0) close(accepted);
     return accepted >= 0;
   }
@@ -101,6 +105,45 @@
   BOOST_TEST((failure(port, [] {}) == HttpFailure::kRefused));
 }
 
+// Guards against a watch of workers that stays silent for its time limit once
+// for each idle connection, while workers leave (all connections open at one
+// moment go silent, new ones work).
+BOOST_AUTO_TEST_CASE(ARepetitionAvoidsConnectionsThatWentSilentTogether) {
+  const EventBase base(event_base_new());
+  HttpClient client(base.get());
+  const StandingListener listener(0);
+  std::vector<std::unique_ptr<TestSocket>> accepted;
+  const auto accept_all = [&] {
+    for (int fd = listener.Accept(); fd >= 0; fd = listener.Accept()) {
+      accepted.push_back(std::make_unique<TestSocket>(fd));
+    }
+    return accepted.size();
+  };
+  size_t answered = 0;
+  std::optional<HttpFailure> failure;
+  const auto send = [&] {
+    client.Send({"127.0.0.1", listener.port()}, {"GET", "/watch", {}, ""},
+                kCallTimeout, [&](const HttpResponse& response) {
+                  answered += response.complete_ ? 1 : 0;
+                  failure = response.failure_;
+                });
+  };
+  for (int call = 0; call < 3; ++call) send();
+  BOOST_REQUIRE(RunUntil(base.get(), [&] { return accept_all() == 3; }));
+  for (const auto& socket : accepted) {
+    socket->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  BOOST_REQUIRE(RunUntil(base.get(), [&] { return answered == 3; }));
+  // From here on, nothing is answered on these three.
+  failure.reset();
+  send();
+  BOOST_REQUIRE(RunUntil(base.get(), [&] { return failure.has_value(); }));
+  BOOST_TEST((failure == HttpFailure::kTimeout));
+  BOOST_TEST(accepted.size() == 3U);
+  send();
+  BOOST_TEST(RunUntil(base.get(), [&] { return accept_all() == 4; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
