Validate chunked bodies before the HTTP library sees them

What callers saw: on arm64, a body with an invalid chunk size got no answer until the request timed out; x86-64 answered 400.

Cause: the library tells an invalid digit by a negative char, and char has no sign on arm64. ChunkCheck validates the framing on its way to the library.

Evidence: caller_server/InvalidChunksGet400 fails on on arm64 and passes with the change; chunk_check/* covers the framing byte by byte.

--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -19,6 +19,8 @@
 /// Longest time between the last reply and the close. What the sender still
 /// sends in this time is discarded.
 constexpr Duration kLingerTimeout{2000};
+constexpr std::string_view kInvalidBody =
+    "body is not valid: send Content-Length or good chunks";
 constexpr size_t kInputHighWatermarkBytes = 256 * 1024;
 
 std::string_view ReasonPhrase(int status) {
@@ -117,7 +119,7 @@
   // output buffer next.
   const std::string text =
       RefusalText(400, Errc::kBadRequest,
-                  "body is not valid: send Content-Length or good chunks");
+                  kInvalidBody);
   const int fd = bufferevent_getfd(socket_);
   // If the reply can't be written, the sender only sees the close.
   [[maybe_unused]] const ssize_t sent =
@@ -195,6 +197,8 @@
   phase_ = Phase::kReadingBody;
   target_ = std::move(check.target_);
   chunked_ = check.chunked_;
+  chunks_ = {};
+  head_bytes_left_ = check.head_bytes_;
   remaining_bytes_ = check.head_bytes_ + check.body_bytes_;
   bytes_passed_ = 0;
   return true;
@@ -209,6 +213,16 @@
     Refuse(413, Errc::kBodyTooLarge, "body must be at most 4194304 bytes");
     return 0;
   }
+  if (chunked_) {
+    const auto* bytes = reinterpret_cast<const char*>(
+        evbuffer_pullup(from, static_cast<ev_ssize_t>(size)));
+    const size_t of_head = std::min(head_bytes_left_, size);
+    head_bytes_left_ -= of_head;
+    if (!chunks_.On({bytes + of_head, size - of_head})) {
+      Refuse(400, Errc::kBadRequest, kInvalidBody);
+      return 0;
+    }
+  }
   evbuffer_remove_buffer(from, to, size);
   if (chunked_) return size;
   remaining_bytes_ -= size;
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -5,6 +5,7 @@
 #include <evhtp/evhtp.h>
 
 #include "caller_silence.h"
+#include "chunk_check.h"
 #include "gentiandeal_p.h"
 
 namespace gentiandeal {
@@ -106,6 +107,8 @@
   Phase phase_ = Phase::kReadingHead;
   bool reading_ = false;  // part of the current request has arrived
   bool chunked_ = false;
+  ChunkCheck chunks_;           // if chunked
+  size_t head_bytes_left_ = 0;  // of the current request, not yet passed
   bool refused_ = false;
   bool keeps_reading_ = false;
   bool discarded_ = false;
