Read each item of the store by itself, and check its numbers

What operators see: one odd entry among those of the workers (no value, a key that isn't UTF-8, a revision too large, deep nesting) blinds every instance that reads the list: it hears of no new worker and of none that leaves (DRAIN), and asks for the whole list again, for ever.

Cause: an answer was parsed and applied as a whole; numbers were converted without a look at their range. Class: trust in other writers' values. The same in instances' records, the operator's configuration, workers' lists and callers' jobs, which are checked as well; names that can't stand in a header make an entry unusable.

--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -48,6 +48,9 @@
 /// Upper bounds in seconds. Latency objectives lie between 0.1 and 2.
 const prometheus::Histogram::BucketBoundaries kJobBuckets = {
     0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1, 1.5, 2.5, 5};
+/// Ticks are due each 20 ms.
+const prometheus::Histogram::BucketBoundaries kTickGapBuckets = {
+    0.03, 0.06, 0.1, 0.2, 0.45, 1, 2, 4};
 
 }  // namespace
 
@@ -60,7 +63,16 @@
                   .Name("gentiandeal_pauses_total")
                   .Help("Times the process stood still.")
                   .Register(registry_)
-                  .Add({})) {}
+                  .Add({})),
+      tick_gap_seconds_(prometheus::BuildHistogram()
+                            .Name("gentiandeal_tick_gap_seconds")
+                            .Help("Between two ticks of the event loop.")
+                            .Register(registry_)
+                            .Add({}, kTickGapBuckets)) {}
+
+void HostedMetrics::RecordTickGap(Duration gap) {
+  tick_gap_seconds_.Observe(static_cast<double>(gap.ms_) / 1000);
+}
 
 void HostedMetrics::RecordJob(std::string_view outcome, Duration age) {
   job_seconds_.Add({{"outcome", std::string(outcome)}}, kJobBuckets)
@@ -123,6 +135,11 @@
   AddLabelled(
       &families, "http_bytes_received", "from",
       {{"workers", workers.bytes_received_}, {"store", store.bytes_received_}});
+  const WorkerEntryStats& entries = backend.entries_;
+  AddLabelled(&families, "worker_entries_read", "as",
+              {{"changed", entries.changed_},
+               {"unchanged", entries.unchanged_},
+               {"unusable", entries.unusable_}});
   gauge("open_jobs", gauges.open_jobs_);
   gauge("owned_workers", gauges.owned_workers_);
   gauge("reachable_owners", gauges.reachable_owners_);
--- a/src/hosted_metrics.h
+++ b/src/hosted_metrics.h
@@ -21,10 +21,18 @@
   bool draining_ = false;
 };
 
+/// Entries of workers that were read, since the start of the process.
+struct WorkerEntryStats {
+  uint64_t changed_ = 0;
+  uint64_t unchanged_ = 0;  ///< But for their sequence number.
+  uint64_t unusable_ = 0;
+};
+
 /// Traffic with the hosting platform.
 struct BackendTraffic {
   HttpTraffic workers_;
   HttpTraffic store_;
+  WorkerEntryStats entries_;
 };
 
 /// Counters and latency histograms of a hosted instance.
@@ -34,6 +42,8 @@
 
   /// Records the outcome and the latency of a job.
   void RecordJob(std::string_view outcome, Duration age);
+  /// Records the time between two ticks of the event loop.
+  void RecordTickGap(Duration gap);
   /// Counts a suspension of the process.
   void RecordPause() { pauses_.Increment(); }
 
@@ -47,6 +57,7 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Histogram>& job_seconds_;
   prometheus::Counter& pauses_;
+  prometheus::Histogram& tick_gap_seconds_;
 };
 
 }  // namespace gentiandeal
--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "json_checks.h"
+
 namespace gentiandeal {
 namespace {
 
@@ -20,6 +22,8 @@
 /// Age of the records of instances up to which workers are claimed: some passes
 /// of the event loop, and less than the pause between two reads.
 constexpr Duration kMaxClaimViewAge{50};
+/// Largest processor share of an instance that is believed.
+constexpr int32_t kMaxCpuMilli = 1'000'000;
 
 }  // namespace
 
@@ -31,7 +35,10 @@
     record.name_.value_ = json.at("name").get<std::string>();
     record.incarnation_.value_ = json.at("incarnation").get<uint64_t>();
     record.data_centre_ = json.at("data_centre").get<std::string>();
-    record.cpu_milli_ = json.value("cpu_milli", int32_t{0});
+    if (!IsPlainName(record.name_.value_) ||
+        !ReadOptional(json, "cpu_milli", 0, kMaxCpuMilli, &record.cpu_milli_)) {
+      return false;
+    }
     record.draining_ = json.at("draining").get<bool>();
     record.workers_ = json.at("workers").get<std::set<std::string>>();
     if (ParseAddress(json.at("peers").get<std::string>(),
