Read on while a watch answer may be partial

What operators see: on a site with 1,100 workers, owners start tasks on workers that said seconds ago that they are leaving (DRAIN), lose those that leave, and find out late about new ones.

Cause: the store puts about 500 changes into one answer. 1,100 workers rewrite their entries 733 times a second; an owner on a fast link asked once a second, read 500 of them and fell behind by one second in three. Nothing bounded the lag. Instances on slower links ask more often and were in time, so that the small twins and smaller sites, with under 500 changes a second, can't show it. Class: a pace that knows the link but not the size of what it paces.

--- a/src/poll_pace.h
+++ b/src/poll_pace.h
@@ -7,29 +7,36 @@
 
 namespace gentiandeal {
 
-/// Paces calls whose answers carry all that has changed since the last one.
-/// Calls are as rare as allowed, but no answer may hold up everything else on
-/// the link for longer than `kMaxAnswerTime`: a steady stream of changes is
-/// read in more and smaller answers on a slow link.
+/// Paces calls whose answers carry what has changed since the last one. Calls
+/// are as rare as allowed, but no answer may hold up everything else on the
+/// link for longer than `kMaxAnswerTime`, nor hold so many changes that the
+/// sender may have left some out: a steady stream of changes is read in more
+/// and smaller answers.
 class PollPace {
  public:
   static constexpr Duration kMaxAnswerTime{20};
   static constexpr Duration kMinInterval{100};
+  /// Half of what the store sends in one answer at most.
+  static constexpr int64_t kMaxAnswerItems = 250;
 
   /// @param longest Interval while answers are small.
   PollPace(Duration longest, LinkRate link)
       : longest_(longest), interval_(longest), link_(link) {}
 
-  /// Records an answer.
-  /// @param collected Time over which its changes were collected.
-  void On(Duration collected, int64_t bytes) {
-    const Duration on_link = link_.TimeFor(bytes);
-    if (on_link.ms_ == 0) {
-      interval_ = longest_;
-      return;
+  /// Records changes that were read, in one answer or several.
+  /// @param collected Time in which they came about.
+  void On(Duration collected, int64_t bytes, int64_t items) {
+    const int64_t on_link_ms = link_.TimeFor(bytes).ms_;
+    interval_ = longest_;
+    if (on_link_ms > 0) {
+      interval_.ms_ = std::min(
+          interval_.ms_, collected.ms_ * kMaxAnswerTime.ms_ / on_link_ms);
     }
-    const Duration next{collected.ms_ * kMaxAnswerTime.ms_ / on_link.ms_};
-    interval_ = std::clamp(next, std::min(kMinInterval, longest_), longest_);
+    if (items > 0) {
+      interval_.ms_ =
+          std::min(interval_.ms_, collected.ms_ * kMaxAnswerItems / items);
+    }
+    interval_ = std::max(interval_, std::min(kMinInterval, longest_));
   }
 
   /// Time from the start of a call to that of the next one.
--- a/tests/unit/store_watcher_test.cc
+++ b/tests/unit/store_watcher_test.cc
@@ -159,6 +159,33 @@
   }
 }
 
+// Guards against starts on workers that left seconds ago (DRAIN): their owner
+// read 500 changes a second of 733, and fell behind by a second every three.
+BOOST_AUTO_TEST_CASE(AFullAnswerIsFollowedByAnotherCallAtOnce) {
+  constexpr size_t kItemsPerAnswer = 500;
+  watcher_.Start();
+  AnswerList({Item("servers/a", "1")});
+  const std::vector<std::string> full(kItemsPerAnswer, Item("servers/a", "2"));
+  for (size_t call = 3; call < 6; ++call) {
+    AnswerWatch(full);
+    BOOST_TEST(calls_.size() == call);
+    BOOST_TEST(Watching());
+  }
+  AnswerWatch({Item("servers/a", "3")});
+  BOOST_TEST(calls_.size() == 5U);
+  BOOST_TEST(heard_.at("servers/a") == "3");
+}
+
+// Changes that the last answer left out make the known items old.
+BOOST_AUTO_TEST_CASE(IsNotUpToDateAfterAFullAnswer) {
+  watcher_.Start();
+  AnswerList({Item("servers/a", "1")});
+  const Time listed = clock_.Now();
+  AnswerWatch(std::vector<std::string>(500, Item("servers/a", "2")));
+  const Duration ahead{50};
+  BOOST_TEST(watcher_.Age(listed + ahead).ms_ >= ahead.ms_);
+}
+
 // Guards against instances that own nothing and yet read every heartbeat of
 // every worker (1,100 workers, 147 instances).
 BOOST_AUTO_TEST_CASE(ASamplingWatcherListsRarely) {
