--- a/src/chunk_check.h
+++ b/src/chunk_check.h
@@ -21,7 +21,7 @@
     kExtension,  ///< Between the size and the end of its line.
     kSizeEnd,    ///< Between CR and LF.
     kData,
-    kDataEnd,    ///< CR and LF behind the data.
+    kDataEnd,  ///< CR and LF behind the data.
     kTrailer,
     kDone,
     kInvalid
--- a/src/json_checks.h
+++ b/src/json_checks.h
@@ -10,8 +10,8 @@
 /// Checks of values that other writers may have left in the store.
 namespace gentiandeal {
 
-/// Reads a number within bounds and drops its fraction. @returns false for anything else; `out`
-/// is unchanged then.
+/// Reads a number within bounds and drops its fraction. @returns false for
+/// anything else; `out` is unchanged then.
 template <typename T>
 bool ReadInteger(const nlohmann::json& value, T least, T most, T* out) {
   if (value.is_number_unsigned()) {
--- a/tests/unit/store_watcher_test.cc
+++ b/tests/unit/store_watcher_test.cc
@@ -35,20 +35,21 @@
   std::map<std::string, std::string> heard_;
   std::set<std::string> removed_;
   MonotonicClock clock_;
-  StoreWatcher watcher_{"servers/",
-                        {Duration{1000}, {}},
-                        {},
-                        [this](const char*, std::string path, std::string,
-                               Duration, HttpClient::Done done) {
-                          calls_.push_back({std::move(path), std::move(done)});
-                        },
-                        {[this](const std::string& key,
-                                const std::string& value,
-                                uint64_t) { heard_[key] = value; },
-                         [this](const std::string& key) {
-                           heard_.erase(key);
-                           removed_.insert(key);
-                         }}};
+  StoreWatcher watcher_{
+      "servers/",
+      {Duration{1000}, {}},
+      {},
+      [this](const char*, std::string path, std::string, Duration,
+             HttpClient::Done done) {
+        calls_.push_back({std::move(path), std::move(done)});
+      },
+      {[this](const std::string& key, const std::string& value, uint64_t) {
+         heard_[key] = value;
+       },
+       [this](const std::string& key) {
+         heard_.erase(key);
+         removed_.insert(key);
+       }}};
 
   void Answer(int status, std::string body) {
     HttpResponse response;
@@ -69,12 +70,11 @@
   }
   static std::string Join(const std::vector<std::string>& items) {
     std::string all;
-    for (const std::string& item : items) all += (all.empty() ? "" : ",") + item;
+    for (const std::string& item : items)
+      all += (all.empty() ? "" : ",") + item;
     return all;
   }
-  bool Watching() const {
-    return calls_.back().path_.find("/-/kv-watch") == 0;
-  }
+  bool Watching() const { return calls_.back().path_.find("/-/kv-watch") == 0; }
   void Tick(Duration ahead) { watcher_.Tick(clock_.Now() + ahead); }
 };
 
@@ -290,7 +290,8 @@
   BOOST_TEST(changed(":4}", ":4,\"x\":1}"));
   BOOST_TEST((FingerprintEntry(R"({"zone":"\"seq\":1"})") !=
               FingerprintEntry(R"({"zone":"\"seq\":2"})")));
-  BOOST_TEST((FingerprintEntry(R"({"seq":)") == FingerprintEntry(R"({"seq":)")));
+  BOOST_TEST(
+      (FingerprintEntry(R"({"seq":)") == FingerprintEntry(R"({"seq":)")));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
