Select owners by their links as well as by their processors

Cause: owners were chosen by processor share alone. An owner of ten workers sends up to 160 KB of starts a second over 250 KB/s. Records now carry the link's rate, and a megabyte a second serves 32 workers at most; on the links of the whole site (25 Mbit/s and more) the processor binds as before.

Evidence: owner_selection/ThinLinksAreSharedByMoreOwners fails before; FastLinksChangeNothing.

--- a/src/link_rate.h
+++ b/src/link_rate.h
@@ -10,6 +10,7 @@
 struct LinkRate {
   int64_t bytes_per_s_ = 0;
 
+  friend bool operator==(const LinkRate&, const LinkRate&) = default;
   bool known() const { return bytes_per_s_ > 0; }
   /// Returns the time that the link takes to carry some bytes.
   Duration TimeFor(int64_t bytes) const {
--- a/src/owner_selection.cc
+++ b/src/owner_selection.cc
@@ -17,16 +17,10 @@
   return XXH3_64bits(joined.data(), joined.size());
 }
 
-double Cores(const SelectableInstance& instance) {
-  const int32_t cpu =
-      instance.cpu_milli_ > 0 ? instance.cpu_milli_ : kDefaultCpuMilli;
-  return cpu / 1000.0;
-}
-
 /// Owner of some workers of a data centre.
 struct Share {
   std::string name_;
-  double cores_ = 0;
+  double capacity_ = 0;
   size_t limit_ = 0;
   size_t workers_ = 0;
 };
@@ -38,12 +32,12 @@
                 std::vector<Share> shares,
                 std::map<std::string, std::string>* assignment) {
   if (shares.empty()) return;
-  double cores = 0;
-  for (const Share& share : shares) cores += share.cores_;
+  double capacity = 0;
+  for (const Share& share : shares) capacity += share.capacity_;
   std::map<std::string, Share*> by_name;
   for (Share& share : shares) {
     const double part =
-        static_cast<double>(workers.size()) * share.cores_ / cores;
+        static_cast<double>(workers.size()) * share.capacity_ / capacity;
     share.limit_ = static_cast<size_t>(part) + 1;
     if (static_cast<double>(share.limit_ - 1) == part) --share.limit_;
     by_name[share.name_] = &share;
@@ -62,7 +56,7 @@
     (*assignment)[id] = keeper->first;
   }
   const auto load = [](const Share& share) {
-    return static_cast<double>(share.workers_ + 1) / share.cores_;
+    return static_cast<double>(share.workers_ + 1) / share.capacity_;
   };
   for (const std::string& id : unassigned) {
     const auto lowest = std::min_element(
@@ -75,6 +69,16 @@
 
 }  // namespace
 
+double OwnerCapacity(const SelectableInstance& instance) {
+  const int32_t cpu_milli =
+      instance.cpu_milli_ > 0 ? instance.cpu_milli_ : kDefaultCpuMilli;
+  const double by_processor = kWorkersPerCore * cpu_milli / 1000;
+  if (!instance.link_rate_.known()) return by_processor;
+  const double megabytes_per_s =
+      static_cast<double>(instance.link_rate_.bytes_per_s_) / 1e6;
+  return std::min(by_processor, kWorkersPerMegabyte * megabytes_per_s);
+}
+
 SelectedOwners SelectOwners(const OwnershipView& view,
                             std::set<std::string>* next) {
   std::map<std::string, size_t> workers;
@@ -86,22 +90,22 @@
     owners[instance.data_centre_].push_back(name);
   }
   for (auto& [data_centre, names] : owners) {
-    std::vector<std::tuple<int32_t, bool, std::string>> ranked;
+    std::vector<std::tuple<double, bool, std::string>> ranked;
     for (const std::string& name : names) {
-      ranked.emplace_back(-view.instances_.at(name).cpu_milli_,
+      ranked.emplace_back(-OwnerCapacity(view.instances_.at(name)),
                           owning.count(name) == 0, name);
     }
     std::sort(ranked.begin(), ranked.end());
     names.clear();
     double served = 0;
-    for (const auto& [cpu, idle, name] : ranked) {
+    for (const auto& [capacity, idle, name] : ranked) {
       if (names.size() >= kMinOwners &&
           served >= static_cast<double>(workers[data_centre])) {
         if (next != nullptr) next->insert(name);
         break;
       }
       names.push_back(name);
-      served += kWorkersPerCore * Cores(view.instances_.at(name));
+      served += -capacity;
     }
     std::sort(names.begin(), names.end());
   }
@@ -124,7 +128,7 @@
   std::vector<Share> all_shares;
   for (const auto& [owners_centre, names] : owners) {
     for (const std::string& name : names) {
-      const Share share{name, Cores(view.instances_.at(name))};
+      const Share share{name, OwnerCapacity(view.instances_.at(name))};
       all_shares.push_back(share);
       if (owners_centre == data_centre) near_shares.push_back(share);
     }
--- a/src/owner_selection.h
+++ b/src/owner_selection.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "link_rate.h"
+
 /// Which instances own leased workers, and which instances stay connected.
 /// Pure functions of what the store lists: instances with equal views get equal
 /// results, without talking to each other.
@@ -15,6 +17,9 @@
 /// Workers that one core of an instance's processor share can serve as owner,
 /// beside the callers that the instance serves.
 inline constexpr double kWorkersPerCore = 128;
+/// Workers that each megabyte a second of an instance's link can serve: what
+/// their tasks are sent with takes half of it.
+inline constexpr double kWorkersPerMegabyte = 32;
 /// Fewest owners of a data centre with as many instances, so that the loss of
 /// one leaves another that already owns workers there.
 inline constexpr size_t kMinOwners = 2;
@@ -25,8 +30,12 @@
 struct SelectableInstance {
   std::string data_centre_;
   int32_t cpu_milli_ = 0;  ///< Its processor share, in thousandths of a core.
+  LinkRate link_rate_{};
 };
 
+/// Workers that an instance can serve as owner.
+double OwnerCapacity(const SelectableInstance& instance);
+
 /// Live instances, listed workers and present owners.
 struct OwnershipView {
   std::map<std::string, SelectableInstance> instances_;  ///< By name.
@@ -40,7 +49,7 @@
 /// Selects as few owners in each data centre as can serve its workers, at least
 /// `kMinOwners`: a job's tasks find room at an owner of many workers when they
 /// find none at several owners of few, and the messages between instances grow
-/// with the number of owners. Instances with the largest processor share come
+/// with the number of owners. Instances that can serve the most workers come
 /// first, and among equals those that own workers already.
 /// @param next Receives the instance of each data centre that is selected next,
 ///     if there is one; may be null.
@@ -48,7 +57,7 @@
                             std::set<std::string>* next = nullptr);
 
 /// Distributes the workers of a data centre over its selected owners, in
-/// proportion to their processor shares and with as few moves as possible.
+/// proportion to what they can serve and with as few moves as possible.
 /// Workers of data centres without an instance are distributed over all
 /// selected owners.
 /// @param data_centre That of the workers to assign, beside those of data
--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -22,8 +22,9 @@
 /// Age of the records of instances up to which workers are claimed: some passes
 /// of the event loop, and less than the pause between two reads.
 constexpr Duration kMaxClaimViewAge{50};
-/// Largest processor share of an instance that is believed.
+/// Largest processor share and link of an instance that are believed.
 constexpr int32_t kMaxCpuMilli = 1'000'000;
+constexpr int64_t kMaxLinkBytesPerS = 1'000'000'000'000;
 
 }  // namespace
 
@@ -36,7 +37,9 @@
     record.incarnation_.value_ = json.at("incarnation").get<uint64_t>();
     record.data_centre_ = json.at("data_centre").get<std::string>();
     if (!IsPlainName(record.name_.value_) ||
-        !ReadOptional(json, "cpu_milli", 0, kMaxCpuMilli, &record.cpu_milli_)) {
+        !ReadOptional(json, "cpu_milli", 0, kMaxCpuMilli, &record.cpu_milli_) ||
+        !ReadOptional(json, "link_bytes_per_s", int64_t{0}, kMaxLinkBytesPerS,
+                      &record.link_rate_.bytes_per_s_)) {
       return false;
     }
     record.draining_ = json.at("draining").get<bool>();
@@ -59,6 +62,7 @@
   json["data_centre"] = record.data_centre_;
   json["peers"] = ToString(record.peer_address_);
   json["cpu_milli"] = record.cpu_milli_;
+  json["link_bytes_per_s"] = record.link_rate_.bytes_per_s_;
   json["draining"] = record.draining_;
   json["workers"] = record.workers_;
   return json.dump();
@@ -135,8 +139,8 @@
 OwnershipView WorkerOwnership::BuildView() const {
   OwnershipView view;
   if (!self_.draining_) {
-    view.instances_[self_.name_.value_] = {self_.data_centre_,
-                                           self_.cpu_milli_};
+    view.instances_[self_.name_.value_] = {self_.data_centre_, self_.cpu_milli_,
+                                           self_.link_rate_};
   }
   // All instances must agree on the owner of a worker that several records
   // list: one that isn't draining, with the lowest name.
@@ -153,7 +157,8 @@
   for (const auto& [name, peer] : peers_) {
     if (!peer.record_.draining_) {
       view.instances_[name] = {peer.record_.data_centre_,
-                               peer.record_.cpu_milli_};
+                               peer.record_.cpu_milli_,
+                               peer.record_.link_rate_};
     }
     add_workers(peer.record_);
   }
@@ -215,11 +220,10 @@
   const auto near_before = selected_.find(self_.data_centre_);
   may_own_ = next.count(self_.name_.value_) > 0;
   if (near != selected.end()) {
-    may_own_ = may_own_ || std::binary_search(near->second.begin(),
-                                              near->second.end(),
-                                              self_.name_.value_);
-    if (near_before == selected_.end() ||
-        near->second != near_before->second) {
+    may_own_ =
+        may_own_ || std::binary_search(near->second.begin(), near->second.end(),
+                                       self_.name_.value_);
+    if (near_before == selected_.end() || near->second != near_before->second) {
       ++near_owners_version_;
     }
   }
--- a/src/worker_ownership.h
+++ b/src/worker_ownership.h
@@ -22,6 +22,7 @@
   Address peer_address_;  ///< Where other instances connect.
   /// Processor share, in thousandths of a core; 0 when unknown.
   int32_t cpu_milli_ = 0;
+  LinkRate link_rate_;
   bool draining_ = false;
   std::set<std::string> workers_;  ///< Ids of owned and claimed workers.
   friend bool operator==(const InstanceRecord&,
--- a/tests/unit/owner_selection_test.cc
+++ b/tests/unit/owner_selection_test.cc
@@ -236,6 +236,31 @@
   }
 }
 
+// Guards against owners that need more of their links for the starts on their
+// workers than there is, while other instances own none (2 Mbit/s, 20 workers
+// and three instances in a data centre).
+BOOST_AUTO_TEST_CASE(ThinLinksAreSharedByMoreOwners) {
+  constexpr LinkRate kThin{250000};
+  Fleet fleet;
+  fleet.AddDataCentre("west", 0, 4, 20);
+  BOOST_TEST(SelectOwners(fleet.view_).at("west").size() == 2U);
+  for (auto& [name, instance] : fleet.view_.instances_) {
+    instance.link_rate_ = kThin;
+  }
+  BOOST_TEST(SelectOwners(fleet.view_).at("west").size() == 3U);
+}
+
+// Where the processor is short, the link changes nothing.
+BOOST_AUTO_TEST_CASE(FastLinksChangeNothing) {
+  Fleet fleet;
+  fleet.AddDataCentre("west", 3, 20, 184);
+  const SelectedOwners unknown = SelectOwners(fleet.view_);
+  for (auto& [name, instance] : fleet.view_.instances_) {
+    instance.link_rate_ = {3125000};
+  }
+  BOOST_TEST((SelectOwners(fleet.view_) == unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/worker_ownership_test.cc
+++ b/tests/unit/worker_ownership_test.cc
@@ -242,10 +242,10 @@
     record.cpu_milli_ = cpu_milli;
     ownership_.InstanceListed(record);
   };
-  // Of unknown processor share, "b" is the last in line.
-  list("a", 100, {"w1", "w2"});
-  list("c", 100, {"w3", "w4"});
-  list("d", 100);
+  // An unknown processor share counts as one core: "b" is the last in line.
+  list("a", 2000, {"w1", "w2"});
+  list("c", 2000, {"w3", "w4"});
+  list("d", 2000);
   Tick();
   BOOST_TEST(!ownership_.needs_current_workers());
   const uint64_t version = ownership_.near_owners_version();
