Bound what an owner sends at a time, and what tasks cost that move

Changes, each by the link's rate from the settings, none where it is unknown or fast: starts on their way take the link 20 ms at most, the others wait in the order of their urgency, and an owner that holds starts back reports no free resources; a waiting task is returned only if it would wait longer than its way takes; a task that would cross the link goes to own workers if it fits there.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -100,7 +100,7 @@
         started_(clock_.Now()),
         ownership_(MakeRecord(), started_ + init.claim_delay_),
         scheduler_(init.owner_limits_),
-        coordinator_(init.name_, init.data_centre_),
+        coordinator_(init.name_, init.data_centre_, init.link_rate_),
         mesh_(base, {init.name_, init.data_centre_, incarnation_},
               init.link_rate_, MakeMeshEvents()) {}
 
@@ -163,6 +163,7 @@
     record.data_centre_ = init_.data_centre_;
     record.peer_address_ = init_.peer_address_;
     record.cpu_milli_ = init_.cpu_milli_;
+    record.link_rate_ = init_.link_rate_;
     return record;
   }
 
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -230,9 +230,15 @@
 }
 
 JobCoordinator::Owner* JobCoordinator::SelectOwner(const HostedJob& job,
-                                                   const HostedJobStep& step,
+                                                   uint32_t step_index,
                                                    const TaskRecord& task,
+                                                   const Placement& placement,
                                                    std::string* name) {
+  const HostedJobStep& step = job.steps_[step_index];
+  const auto payload_bytes = static_cast<int64_t>(job.payload_.size());
+  // Sent by this instance and received by the owner, whose link isn't known.
+  const auto message_ms =
+      2 * static_cast<double>(link_rate_.TimeFor(payload_bytes).ms_);
   Owner* best = nullptr;
   double best_cost = 0;
   for (auto& [key, owner] : owners_) {
@@ -240,7 +246,12 @@
     if (owner.load_.draining_ || load == nullptr) continue;
     const bool near = owner.data_centre_ == data_centre_;
     double cost = near ? 0 : static_cast<double>(kRemoteDataCentrePenalty.ms_);
-    if (key != self_.value_) cost += kRemoteOwnerPenalty;
+    if (key != self_.value_) {
+      cost += kRemoteOwnerPenalty;
+      // Further tasks of a step go along in the same message.
+      const bool sent = placement.assigns_.count({key, step_index}) > 0;
+      if (!sent) cost += message_ms;
+    }
     // A task that an owner returned goes to another owner if possible.
     if (task.reassignments_ > 0 && key == task.owner_.value_) {
       cost += kSameOwnerPenalty;
@@ -291,7 +302,7 @@
   const HostedJobStep& step_spec = spec.steps_[step];
   TaskRecord& task = job->steps_[step][index];
   std::string name;
-  Owner* owner = SelectOwner(spec, step_spec, task, &name);
+  Owner* owner = SelectOwner(spec, step, task, *placement, &name);
   if (owner == nullptr) return;
   PoolLoad* load = FindPool(&owner->load_, spec.pool_);
   Resources* free = FindBestFit(&load->free_, step_spec.need_);
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "leased_worker.h"
+#include "link_rate.h"
 
 /// Accepts jobs from callers and assigns their tasks to the instances that own
 /// workers. Performs no I/O and reads no clock: it takes messages and the
@@ -131,8 +132,12 @@
  public:
   /// @param self Name of this instance, whose own workers cost no network hop.
   /// @param data_centre Data centre of this instance.
-  JobCoordinator(InstanceName self, std::string data_centre)
-      : self_(std::move(self)), data_centre_(std::move(data_centre)) {}
+  /// @param link_rate Of the link over which tasks are assigned.
+  JobCoordinator(InstanceName self, std::string data_centre,
+                 LinkRate link_rate = {})
+      : self_(std::move(self)),
+        data_centre_(std::move(data_centre)),
+        link_rate_(link_rate) {}
 
   void On(const SubmitHostedJob& submit, Time now, CoordinatorOutbox* out);
   /// Ends the job of a caller whose connection has ended.
@@ -244,9 +249,11 @@
   const std::string* FindOpenElsewhere(const std::string& id, Time now) const;
   /// Loads of a pool at all owners that aren't draining.
   std::vector<const PoolLoad*> PoolLoads(const std::string& pool) const;
-  /// Chooses the cheapest owner for a task. @returns null if there is none.
-  Owner* SelectOwner(const HostedJob& job, const HostedJobStep& step,
-                     const TaskRecord& task, std::string* name);
+  /// Chooses the cheapest owner for a task of a step. @returns null if there is
+  /// none.
+  Owner* SelectOwner(const HostedJob& job, uint32_t step,
+                     const TaskRecord& task, const Placement& placement,
+                     std::string* name);
   /// Assigns all waiting tasks whose steps have no unfinished dependency.
   void PlaceReady(uint64_t id, Time now, CoordinatorOutbox* out);
   void Place(uint64_t id, Job* job, uint32_t step, uint32_t index, Time now,
@@ -267,6 +274,7 @@
 
   InstanceName self_;
   std::string data_centre_;
+  LinkRate link_rate_;
   uint64_t last_job_ = 0;
   uint64_t last_serial_ = 0;
   std::map<std::string, Owner> owners_;
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -137,6 +137,7 @@
   const auto found = calls_.find(id.value_);
   if (found == calls_.end()) return false;
   *out = std::move(found->second);
+  start_bytes_ -= out->start_bytes_;
   calls_.erase(found);
   return true;
 }
@@ -432,7 +433,8 @@
                start->run_ == run.number_;
       });
   if (found == out->end()) return false;
-  calls_.erase(std::get<StartRun>(*found).call_.value_);
+  Call call;
+  TakeCall(std::get<StartRun>(*found).call_, &call);
   --stats_.starts_;
   out->erase(found);
   return true;
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "leased_worker.h"
+#include "link_rate.h"
 
 /// Runs tasks on the workers that this instance owns. Does no I/O: takes
 /// messages and the time, and returns commands.
@@ -207,6 +208,8 @@
   /// Longest time a worker takes to stop a run, which uses resources until
   /// then.
   Duration stop_timeout_{50};
+  /// Of the link over which tasks arrive and are started.
+  LinkRate link_rate_{};
 };
 
 /// Counters since the start of the process.
@@ -432,6 +435,7 @@
     std::string worker_;
     uint64_t run_ = 0;
     Time sent_;
+    int64_t start_bytes_ = 0;
   };
 
   /// Removes the start of a run from the outbox. @returns false if it isn't
@@ -482,6 +486,11 @@
   void ExpireWaiting(Time now, SchedulerOutbox* out);
   Worker* PickWorker(const Task& task, Time now);
   void Start(Worker* worker, Task task, Time now, SchedulerOutbox* out);
+  /// Whether as many bytes of starts are on their way as the link can take.
+  bool StartsHeldBack() const;
+  /// Time that the return of a task, and its assignment elsewhere, take.
+  Duration ReturnTime(const Task& task) const;
+
   void Enqueue(Task task);
   /// Queues a task again whose run on `worker` has ended, or reports its end if
   /// it can't start any more.
@@ -492,6 +501,8 @@
   void RemoveRun(Worker* worker, uint64_t key);
   void EndRun(Worker* worker, const Run& run, RunEnd end, Time now,
               SchedulerOutbox* out);
+  void ProcessStartEnd(Worker* worker, uint64_t run_key,
+                       const StartEnded& ended, Time now, SchedulerOutbox* out);
   void ProcessFinished(Worker* worker, const PollEnded& ended, Time now,
                        SchedulerOutbox* out);
   void ProcessRunning(Worker* worker, const PollEnded& ended, Time sent,
@@ -539,6 +550,7 @@
   uint64_t last_call_ = 0;
   uint64_t last_run_ = 0;
   uint64_t load_version_ = 1;
+  int64_t start_bytes_ = 0;  ///< Of starts whose calls haven't ended.
   std::map<std::string, Worker> workers_;
   std::unordered_map<uint64_t, Call> calls_;
   std::vector<Task> queue_;  ///< Waiting tasks, ordered by `start_by_`.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -75,9 +75,17 @@
   if (ended.result_ == StartResult::kStaleFence) {
     return LoseWorker(call.worker_, "stale-fence", now, out);
   }
+  ProcessStartEnd(worker, call.run_, ended, now, out);
+  // Tasks may have waited only for this call to end.
+  if (limits_.link_rate_.known() && !queue_.empty()) StartWaiting(now, out);
+}
+
+void WorkerScheduler::ProcessStartEnd(Worker* worker, uint64_t run_key,
+                                      const StartEnded& ended, Time now,
+                                      SchedulerOutbox* out) {
   const auto found =
       std::find_if(worker->runs_.begin(), worker->runs_.end(),
-                   [&](const Run& run) { return run.key_ == call.run_; });
+                   [&](const Run& run) { return run.key_ == run_key; });
   if (found == worker->runs_.end()) return;
   Run& run = *found;
   if (ended.clock_ms_ && !worker->clock_known_) {
@@ -100,7 +108,7 @@
   // The worker refused the start or never saw it: nothing runs.
   ++stats_.starts_refused_;
   std::optional<Task> task = std::move(run.task_);
-  RemoveRun(worker, call.run_);
+  RemoveRun(worker, run_key);
   if (ended.result_ == StartResult::kUnavailable &&
       ++worker->consecutive_failures_ >= kFailuresToEject) {
     Eject(worker, now);
--- a/src/worker_scheduler_queue.cc
+++ b/src/worker_scheduler_queue.cc
@@ -16,6 +16,18 @@
 /// 1 is CPU left over of the size of the task, or one unit of slowness.
 constexpr double kAvoidCost = 2.0;
 
+/// Time that starts may take the link in one piece: short compared to latency
+/// objectives and to the interval of heartbeats. More of them would hold up
+/// everything else on the link.
+constexpr Duration kStartWindow{20};
+/// Times that the payload of a returned task crosses a link before it can start
+/// elsewhere: from its coordinator to the other owner, and out of the way of
+/// what waits there.
+constexpr int64_t kReturnTransfers = 4;
+
+/// Headers of a start and of its packets, and its body without the payload.
+constexpr int64_t kStartOverheadBytes = 400;
+
 }  // namespace
 
 void WorkerScheduler::Enqueue(Task task) {
@@ -114,7 +126,8 @@
   waiting.swap(queue_);
   for (Task& task : waiting) {
     Worker* worker = nullptr;
-    if (task.batch_.get() != unplaceable && matches(*task.batch_)) {
+    if (task.batch_.get() != unplaceable && matches(*task.batch_) &&
+        !StartsHeldBack()) {
       worker = PickWorker(task, now);
       if (worker == nullptr) unplaceable = task.batch_.get();
     }
@@ -129,11 +142,27 @@
 
 void WorkerScheduler::OffloadWaiting(std::vector<PoolLoad> elsewhere, Time now,
                                      SchedulerOutbox* out) {
+  // Tasks that wait for the link start sooner here than they can be sent
+  // elsewhere.
+  if (StartsHeldBack()) return;
   size_t offloaded = 0;
+  const OwnerLoad own = load(now);
+  const auto waits_longer = [&](const Task& task) {
+    const AssignTasks& assign = task.batch_->assign_;
+    const Duration needed = ReturnTime(task);
+    return needed.ms_ == 0 ||
+           std::any_of(
+               own.pools_.begin(), own.pools_.end(), [&](const PoolLoad& pool) {
+                 return pool.pool_ == assign.pool_ &&
+                        ExpectedWait({&pool}, {1, assign.need_,
+                                               task.batch_->start_by_ - now}) >
+                            needed;
+               });
+  };
   const auto fits_elsewhere = [&](const Task& task) {
     const AssignTasks& assign = task.batch_->assign_;
     if (offloaded >= kMaxOffloadedTasks ||
-        now >= task.batch_->first_start_by_) {
+        now >= task.batch_->first_start_by_ || !waits_longer(task)) {
       return false;
     }
     for (PoolLoad& load : elsewhere) {
@@ -170,6 +199,10 @@
   ++stats_.starts_;
   StartRun start;
   start.call_ = NewCall(CallKind::kStart, *worker, run.key_, now);
+  Call& call = calls_[start.call_.value_];
+  call.start_bytes_ =
+      static_cast<int64_t>(task.batch_->payload_->size()) + kStartOverheadBytes;
+  start_bytes_ += call.start_bytes_;
   start.worker_ = worker->info_;
   start.task_ = run.name_;
   start.run_ = run.number_;
@@ -182,6 +215,16 @@
   out->emplace_back(std::move(start));
 }
 
+bool WorkerScheduler::StartsHeldBack() const {
+  return limits_.link_rate_.known() &&
+         limits_.link_rate_.TimeFor(start_bytes_) >= kStartWindow;
+}
+
+Duration WorkerScheduler::ReturnTime(const Task& task) const {
+  const auto bytes = static_cast<int64_t>(task.batch_->payload_->size());
+  return {limits_.link_rate_.TimeFor(bytes).ms_ * kReturnTransfers};
+}
+
 OwnerLoad WorkerScheduler::load(Time now) const {
   OwnerLoad load;
   load.draining_ = draining_;
@@ -192,10 +235,14 @@
     load.pools_.emplace_back().pool_ = pool;
     return load.pools_.back();
   };
+  // Free resources that nothing can be sent to are of no use to others.
+  const bool free_usable = queue_.empty() || !StartsHeldBack();
   for (const auto& [id, worker] : workers_) {
     if (!InService(worker) || worker.ejections_ > 0) continue;
     PoolLoad& pool = pool_load(worker.info_->pool_);
-    if (worker.free_.cpu_milli_ > 0) pool.free_.push_back(worker.free_);
+    if (worker.free_.cpu_milli_ > 0 && free_usable) {
+      pool.free_.push_back(worker.free_);
+    }
     for (const Run& run : worker.runs_) {
       if (!run.task_) continue;
       const int64_t takes =
