--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -117,9 +117,7 @@
   refused_ = true;
   // Writes to the socket directly: the library frees the connection and its
   // output buffer next.
-  const std::string text =
-      RefusalText(400, Errc::kBadRequest,
-                  kInvalidBody);
+  const std::string text = RefusalText(400, Errc::kBadRequest, kInvalidBody);
   const int fd = bufferevent_getfd(socket_);
   // If the reply can't be written, the sender only sees the close.
   [[maybe_unused]] const ssize_t sent =
--- a/src/poll_pace.h
+++ b/src/poll_pace.h
@@ -29,8 +29,8 @@
     const int64_t on_link_ms = link_.TimeFor(bytes).ms_;
     interval_ = longest_;
     if (on_link_ms > 0) {
-      interval_.ms_ = std::min(
-          interval_.ms_, collected.ms_ * kMaxAnswerTime.ms_ / on_link_ms);
+      interval_.ms_ = std::min(interval_.ms_,
+                               collected.ms_ * kMaxAnswerTime.ms_ / on_link_ms);
     }
     if (items > 0) {
       interval_.ms_ =
--- a/tests/unit/hosted_metrics_test.cc
+++ b/tests/unit/hosted_metrics_test.cc
@@ -14,8 +14,7 @@
   const size_t load = MeshFrame(OwnerLoad{}).index();
   mesh.frames_sent_[load] = 3;
   mesh.bytes_sent_[load] = 700;
-  const BackendTraffic backend{
-      {5, 600, 70}, {8, 90, 10000}, {3, 40, 1}};
+  const BackendTraffic backend{{5, 600, 70}, {8, 90, 10000}, {3, 40, 1}};
   const std::string text = HostedMetrics().ToText({}, {}, mesh, backend, {});
   const auto has = [&](const char* line) {
     return text.find(std::string("\n") + line + "\n") != std::string::npos;
