--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -280,9 +280,12 @@
     const InstanceRecord& record = peer.record_;
     const bool near_owner =
         record.data_centre_ == self_.data_centre_ && !record.workers_.empty();
-    if (links_.count(name) > 0 || near_owner || awaited({name})) {
-      targets.push_back(record);
-    }
+    if (links_.count(name) == 0 && !near_owner && !awaited({name})) continue;
+    InstanceRecord& target = targets.emplace_back();
+    target.name_ = record.name_;
+    target.incarnation_ = record.incarnation_;
+    target.data_centre_ = record.data_centre_;
+    target.peer_address_ = record.peer_address_;
   }
   return targets;
 }
--- a/src/worker_ownership.h
+++ b/src/worker_ownership.h
@@ -118,7 +118,8 @@
 
   /// Returns the other instances to be connected to: the owners that this
   /// instance assigns tasks to, those that still own workers of its data
-  /// centre, and others while it waits for tasks there.
+  /// centre, and others while it waits for tasks there. The workers in their
+  /// records are left out.
   /// @param awaited Returns whether tasks assigned to an instance are open.
   std::vector<InstanceRecord> LinkTargets(
       const std::function<bool(const InstanceName&)>& awaited) const;
