--- a/tests/unit/store_watcher_test.cc
+++ b/tests/unit/store_watcher_test.cc
@@ -39,7 +39,7 @@
       "servers/",
       {Duration{1000}, {}},
       {},
-      [this](const char*, std::string path, std::string, Duration,
+      [this](const char*, std::string path, const std::string&, Duration,
              HttpClient::Done done) {
         calls_.push_back({std::move(path), std::move(done)});
       },
@@ -70,8 +70,9 @@
   }
   static std::string Join(const std::vector<std::string>& items) {
     std::string all;
-    for (const std::string& item : items)
+    for (const std::string& item : items) {
       all += (all.empty() ? "" : ",") + item;
+    }
     return all;
   }
   bool Watching() const { return calls_.back().path_.find("/-/kv-watch") == 0; }
