Hold no starts back for a worker that doesn't answer

What callers would see: on a link of 2 Mbit/s two workers that hang stop their owner from starting anything elsewhere for 250 ms, the time limit of a call.

Cause: the bytes of a start counted as on their way until its call had ended. They have left the link by the time at which an owner looks for the run, 60 ms.

Evidence: thin_link/SilentWorkersHoldNothingBackForLong fails before. The load of an owner is now worked out only where a return has a price.

--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -589,6 +589,14 @@
 
 void WorkerScheduler::Tick(Time now, SchedulerOutbox* out) {
   losses_.Expire(now);
+  if (StartsHeldBack()) {
+    // A start that is unanswered for so long has left the link: its worker is
+    // slow or gone, and must not hold back the starts on others.
+    for (auto& [id, call] : calls_) {
+      if (now - call.sent_ <= kStartAnswerTimeout) continue;
+      start_bytes_ -= std::exchange(call.start_bytes_, 0);
+    }
+  }
   for (auto& [id, worker] : workers_) {
     const bool had_runs = !worker.runs_.empty();
     if (worker.poll_failures_ > 0 && had_runs && IsLeaseOver(worker, now)) {
--- a/src/worker_scheduler_queue.cc
+++ b/src/worker_scheduler_queue.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "wait_estimate.h"
@@ -146,18 +147,18 @@
   // elsewhere.
   if (StartsHeldBack()) return;
   size_t offloaded = 0;
-  const OwnerLoad own = load(now);
+  std::optional<OwnerLoad> own;  // worked out where it is needed
   const auto waits_longer = [&](const Task& task) {
     const AssignTasks& assign = task.batch_->assign_;
     const Duration needed = ReturnTime(task);
-    return needed.ms_ == 0 ||
-           std::any_of(
-               own.pools_.begin(), own.pools_.end(), [&](const PoolLoad& pool) {
-                 return pool.pool_ == assign.pool_ &&
-                        ExpectedWait({&pool}, {1, assign.need_,
-                                               task.batch_->start_by_ - now}) >
-                            needed;
-               });
+    if (needed.ms_ == 0) return true;
+    if (!own) own = load(now);
+    return std::any_of(
+        own->pools_.begin(), own->pools_.end(), [&](const PoolLoad& pool) {
+          return pool.pool_ == assign.pool_ &&
+                 ExpectedWait({&pool}, {1, assign.need_,
+                                        task.batch_->start_by_ - now}) > needed;
+        });
   };
   const auto fits_elsewhere = [&](const Task& task) {
     const AssignTasks& assign = task.batch_->assign_;
--- a/tests/unit/thin_link_test.cc
+++ b/tests/unit/thin_link_test.cc
@@ -94,6 +94,18 @@
   BOOST_TEST(owner_.waiting() < 7U);
 }
 
+// Guards against two workers that hang and stop an owner from starting anything
+// for the time limit of its calls.
+BOOST_AUTO_TEST_CASE(SilentWorkersHoldNothingBackForLong) {
+  AssignLarge(16);
+  const size_t unanswered = All<StartRun>().size();
+  BOOST_REQUIRE(unanswered < 16U);
+  Advance(40);
+  BOOST_TEST(All<StartRun>().size() == unanswered);
+  Advance(40);
+  BOOST_TEST(All<StartRun>().size() > unanswered);
+}
+
 // A start whose call ends in any way makes room for the next one.
 BOOST_AUTO_TEST_CASE(CallsWithoutAnAnswerHoldNothingBack) {
   AssignLarge(16);
