--- a/tests/unit/store_watcher_test.cc
+++ b/tests/unit/store_watcher_test.cc
@@ -138,6 +138,16 @@
              std::string::npos);
 }
 
+// Guards against a key that ends the path of the next call early, so that the
+// rest of the list is never read.
+BOOST_AUTO_TEST_CASE(AKeyWithAZeroByteIsEncodedInTheNextCall) {
+  watcher_.Start();
+  AnswerList({R"({"key":"servers/a\u0000b","rev":5,"value":"MQ=="})"},
+             /*more=*/true);
+  BOOST_TEST(calls_.back().path_.find("after=servers/a%00b") !=
+             std::string::npos);
+}
+
 // A page without a readable key must not be asked for again and again.
 BOOST_AUTO_TEST_CASE(APageOfUnreadableItemsEndsTheList) {
   watcher_.Start();
