--- a/src/worker_scheduler_queue.cc
+++ b/src/worker_scheduler_queue.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 #include "wait_estimate.h"
@@ -147,14 +146,17 @@
   // elsewhere.
   if (StartsHeldBack()) return;
   size_t offloaded = 0;
-  std::optional<OwnerLoad> own;  // worked out where it is needed
+  // Worked out before tasks are moved about.
+  const bool priced =
+      std::any_of(queue_.begin(), queue_.end(),
+                  [&](const Task& task) { return ReturnTime(task).ms_ > 0; });
+  const OwnerLoad own = priced ? load(now) : OwnerLoad{};
   const auto waits_longer = [&](const Task& task) {
     const AssignTasks& assign = task.batch_->assign_;
     const Duration needed = ReturnTime(task);
     if (needed.ms_ == 0) return true;
-    if (!own) own = load(now);
     return std::any_of(
-        own->pools_.begin(), own->pools_.end(), [&](const PoolLoad& pool) {
+        own.pools_.begin(), own.pools_.end(), [&](const PoolLoad& pool) {
           return pool.pool_ == assign.pool_ &&
                  ExpectedWait({&pool}, {1, assign.need_,
                                         task.batch_->start_by_ - now}) > needed;
--- a/tests/unit/thin_link_test.cc
+++ b/tests/unit/thin_link_test.cc
@@ -19,11 +19,11 @@
     for (const char* id : {"w1", "w2", "w3", "w4"}) Acquire(id, 56000);
   }
 
-  void AssignLarge(uint32_t count) {
+  void AssignLarge(uint32_t count, size_t payload_bytes = kPayloadBytes) {
     AssignTasks assign;
     assign.name_ = "00000000000000a1.0.0";
     assign.pool_ = "pool";
-    assign.payload_ = std::string(kPayloadBytes, 'x');
+    assign.payload_ = std::string(payload_bytes, 'x');
     assign.need_ = kTaskResources;
     assign.expected_run_time_ = {200};
     assign.start_within_ = {500};
@@ -106,6 +106,26 @@
   BOOST_TEST(All<StartRun>().size() > unanswered);
 }
 
+// Guards against a process that ends as it works out its load from tasks that
+// are being moved: one without a price of its return, and one with it behind.
+BOOST_AUTO_TEST_CASE(ReturnsTasksOfSmallAndOfLargePayloads) {
+  WorkerSchedulerLimits limits;
+  limits.link_rate_ = {3125000};
+  owner_ = WorkerScheduler(limits);
+  out_.clear();
+  answered_.clear();
+  Acquire("w1", 14000);
+  Assign(1);
+  Assign(2);
+  AssignLarge(2, 4000);
+  BOOST_REQUIRE(owner_.waiting() == 4U);
+  PoolLoad elsewhere;
+  elsewhere.pool_ = "pool";
+  elsewhere.free_ = {{56000, 131072, 0}, {56000, 131072, 0}};
+  owner_.OffloadWaiting({elsewhere}, now_, &out_);
+  BOOST_TEST(owner_.waiting() == 0U);
+}
+
 // A start whose call ends in any way makes room for the next one.
 BOOST_AUTO_TEST_CASE(CallsWithoutAnAnswerHoldNothingBack) {
   AssignLarge(16);
