Test odd numbers in records, configurations, workers' lists and jobs

Ruled out: a caller's estimate or a stretch that is converted out of range, which is undefined and differs between x86-64 and arm64.

--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -125,6 +125,81 @@
   BOOST_TEST((malformed.result_ == PollResult::kUnanswered));
 }
 
+/// Replaces the first `from` in a text.
+std::string With(std::string text, const std::string& from,
+                 const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+// Guards against numbers of a worker's list that are taken modulo 2^32, or that
+// overflow when a lease is added to them.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeMakeAWorkersListUnusable) {
+  const std::string good =
+      R"({"clock_ms":42,"born":7,"running":[["t",2,"",41]],
+          "finished":[[58,"u",1,"done",""]]})";
+  const auto lists = [](const std::string& body) {
+    HttpResponse response;
+    response.status_ = 200;
+    response.body_ = body;
+    PollEnded poll;
+    ParsePollAnswer(response, &poll);
+    return poll.result_ == PollResult::kListed;
+  };
+  BOOST_REQUIRE(lists(good));
+  for (const char* number : {"4294967298", "-1", "1e30", "1e400", "null",
+                             "true", "\"2\"", "[[[[2]]]]"}) {
+    BOOST_TEST(!lists(With(good, "\"t\",2", "\"t\"," + std::string(number))),
+               number);
+    BOOST_TEST(!lists(With(good, "\"u\",1", "\"u\"," + std::string(number))),
+               number);
+  }
+  for (const char* number : {"9223372036854775807", "1e30", "1e400", "true"}) {
+    BOOST_TEST(!lists(With(good, "42", number)), number);
+  }
+  BOOST_TEST(!lists(With(good, "\"born\":7", "\"born\":-7")));
+  BOOST_TEST(!lists(With(good, "[58", "[-58")));
+  BOOST_TEST(!lists(With(good, "done", "vanished")));
+}
+
+// Guards against a configuration whose numbers wrap or turn objectives
+// negative: the one before stays in force.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeMakeAConfigurationUnusable) {
+  QueueTable table;
+  for (const char* retries : {"4294967297", "-1", "1e30", "true", "\"3\""}) {
+    BOOST_TEST(!ParseQueueTable(With(kTable, "\"retries\":3",
+                                     "\"retries\":" + std::string(retries)),
+                                &table),
+               retries);
+  }
+  for (const char* stretch : {"-1.6", "1e7", "1e400", "\"x\""}) {
+    BOOST_TEST(
+        !ParseQueueTable(With(kTable, "1.6", std::string(stretch)), &table),
+        stretch);
+  }
+  for (const char* objective : {"-60", "1e18", "9223372036854775807"}) {
+    BOOST_TEST(!ParseQueueTable(With(kTable, "60", objective), &table),
+               objective);
+  }
+  BOOST_TEST(table.queues_.empty());
+}
+
+// Guards against a caller's numbers that are converted out of range.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeMakeAJobInvalid) {
+  const std::string good = R"({"best_effort":true,
+      "phases":[{"count":4,"cpu":500,"mem_mb":256,"est_ms":900}]})";
+  const auto submits = [&](const std::string& body) {
+    return Parse("POST", "/case/5c0e7a21d94b36f8", body).kind_ ==
+           ParsedRequest::Kind::kSubmit;
+  };
+  BOOST_REQUIRE(submits(good));
+  for (const char* field : {"4,", "500", "256", "900"}) {
+    for (std::string number : {"4294967300", "-1", "1e30", "1e400"}) {
+      if (field[1] == ',') number += ",";
+      BOOST_TEST(!submits(With(good, field, number)), field << " " << number);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SettingsErrorNamesTheMissingField) {
   ProcessSettings settings;
   std::string detail;
--- a/tests/unit/worker_ownership_test.cc
+++ b/tests/unit/worker_ownership_test.cc
@@ -312,6 +312,31 @@
   BOOST_TEST(!ParseInstanceRecord("\xff", &read));
 }
 
+// The processor share and the link of an instance decide who owns workers.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeMakeARecordUnusable) {
+  InstanceRecord record = Record("a", "west", {"w1"});
+  record.cpu_milli_ = 500;
+  record.link_rate_ = {250000};
+  const std::string good = ToJson(record);
+  InstanceRecord read;
+  BOOST_REQUIRE(ParseInstanceRecord(good, &read));
+  BOOST_TEST((read == record));
+  const auto parses = [&](const std::string& from, const std::string& to) {
+    std::string text = good;
+    text.replace(text.find(from), from.size(), to);
+    return ParseInstanceRecord(text, &read);
+  };
+  for (const char* number : {"4294967796", "-500", "1e30", "1e400", "true"}) {
+    BOOST_TEST(!parses(":500", ":" + std::string(number)), number);
+  }
+  for (const char* number : {"-1", "1e30", "18446744073709551615", "\"x\""}) {
+    BOOST_TEST(!parses(":250000", ":" + std::string(number)), number);
+  }
+  BOOST_TEST(!parses("\"a\"", "\"a\\r\\nb\""));
+  BOOST_TEST(!parses("[\"w1\"]", "{\"w1\":1}"));
+  BOOST_TEST(!parses(":7\"", ":70000\""));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
