--- a/src/cluster.cc
+++ b/src/cluster.cc
@@ -4,6 +4,7 @@
 #include <spdlog/spdlog.h>
 
 #include "consul_platform.h"
+#include "list_limit.h"
 #include "peer_link.h"
 #include "peer_socket.h"
 #include "settings_document.h"
@@ -187,8 +188,7 @@
         peers.push_back(
             {service.peer_address_, service.data_centre_, service.leaving_});
       }
-      LogIfOverLimit("instances", peers.size(), config::kMaxPeers,
-                     &instances_over_);
+      LogLimit("instances", peers.size(), &instance_limit_);
       membership_->SetListedPeers(peers, now);
     }
     SyncOutbox out;
@@ -215,24 +215,24 @@
           listed.workers_ = ToWorkers(services, init_.data_centre_,
                                       settings_->service_.worker_slots_,
                                       settings_->service_.worker_connections_);
-          LogIfOverLimit("workers of this data centre", listed.workers_.size(),
-                         config::kMaxWorkers, &workers_over_);
+          LogLimit("workers of this data centre", listed.workers_.size(),
+                   &worker_limit_);
           ApplyWorkers(std::move(listed));
         });
   }
 
   /// Logs when a list starts or ceases to exceed what this build can use.
-  static void LogIfOverLimit(const char* what, size_t listed, size_t limit,
-                             bool* over) {
-    const bool was_over = *over;
-    *over = listed > limit;
-    if (*over && !was_over) {
-      spdlog::error(
-          "platform: lists {} {}, of which {} are used: split the data centre, "
-          "or use `gentiandeal hosted`",
-          listed, what, limit);
-    } else if (!*over && was_over) {
-      spdlog::info("platform: lists {} {}, all are used again", listed, what);
+  static void LogLimit(const char* what, size_t listed, ListLimit* limit) {
+    switch (limit->On(listed)) {
+      case ListLimit::Change::kNone:
+        return;
+      case ListLimit::Change::kExceeded:
+        return spdlog::error(
+            "platform: lists {} {}, of which {} are used: split the data "
+            "centre, or use `gentiandeal hosted`",
+            listed, what, limit->limit());
+      case ListLimit::Change::kKeptAgain:
+        spdlog::info("platform: lists {} {}, all are used again", listed, what);
     }
   }
 
@@ -388,8 +388,8 @@
   int64_t listed_workers_ = 0;
   bool listing_instances_ = false;
   bool listing_workers_ = false;
-  bool instances_over_ = false;  // the list exceeds the limit
-  bool workers_over_ = false;
+  ListLimit instance_limit_{config::kMaxPeers};
+  ListLimit worker_limit_{config::kMaxWorkers};
   bool platform_reachable_ = true;
 };
 
