--- a/src/poll_pace.h
+++ b/src/poll_pace.h
@@ -16,13 +16,20 @@
  public:
   static constexpr Duration kMaxAnswerTime{20};
   static constexpr Duration kMinInterval{100};
-  /// Half of what the store sends in one answer at most.
+  /// Half of what the store sends in one answer at most: about 500 items or
+  /// 1 MB.
   static constexpr int64_t kMaxAnswerItems = 250;
+  static constexpr int64_t kMaxAnswerBytes = 512 * 1024;
 
   /// @param longest Interval while answers are small.
   PollPace(Duration longest, LinkRate link)
       : longest_(longest), interval_(longest), link_(link) {}
 
+  /// Whether an answer is so large that later changes may have been left out.
+  static bool MayBePartial(int64_t bytes, int64_t items) {
+    return items >= kMaxAnswerItems || bytes >= kMaxAnswerBytes;
+  }
+
   /// Records changes that were read, in one answer or several.
   /// @param collected Time in which they came about.
   void On(Duration collected, int64_t bytes, int64_t items) {
