--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -9,6 +9,7 @@
 
 #include "buffered_log.h"
 #include "event_base.h"
+#include "hosted_log.h"
 #include "hosted_metrics.h"
 #include "job_coordinator.h"
 #include "mesh_link.h"
@@ -364,12 +365,7 @@
     backend_->Answer(answer);
   }
   void Execute(const SendAssign& send) {
-    spdlog::info(
-        "event=assign step={} owner={} tasks={} cpu_milli={} "
-        "expected_ms={} start_within_ms={}",
-        send.assign_.name_, send.owner_.value_, send.assign_.tasks_.size(),
-        send.assign_.need_.cpu_milli_, send.assign_.expected_run_time_.ms_,
-        send.assign_.start_within_.ms_);
+    Log(send);
     if (send.owner_ == init_.name_) {
       return scheduler_.On(kLocalSession, send.assign_, clock_.Now(),
                            &scheduler_out_);
@@ -381,8 +377,7 @@
     }
   }
   void Execute(const SendCancel& send) {
-    spdlog::info("event=cancel request={} owner={} tasks={}", send.job_,
-                 send.owner_.value_, send.cancel_.tasks_.size());
+    Log(send);
     if (send.owner_ == init_.name_) {
       return scheduler_.On(kLocalSession, send.cancel_, clock_.Now(),
                            &scheduler_out_);
@@ -399,26 +394,14 @@
     spdlog::info("event=recall request={} coordinator={} sent={}", recall.job_,
                  recall.coordinator_.value_, sent);
   }
-  void Execute(const TaskReassigned& task) {
-    spdlog::info("event=reassign task={}.0.{}.{} owner={} end={}", task.job_,
-                 task.step_, task.index_, task.owner_.value_, Name(task.end_));
-  }
-  void Execute(const JobRejoined& job) {
-    spdlog::info("event=rejoined request={} age_ms={}", job.job_, job.age_.ms_);
-  }
+  void Execute(const TaskReassigned& task) { Log(task); }
+  void Execute(const JobRejoined& job) { Log(job); }
   void Execute(const StartRun& start) {
-    spdlog::info(
-        "event=start task={} run={} worker={} fence={} call={} session={} "
-        "lease_ms={} entries_age_ms={}",
-        start.task_, start.run_, start.worker_->id_.value_, start.fence_.value_,
-        start.call_.value_, start.session_.value_, start.lease_.ms_,
-        backend_->workers_age(clock_.Now()).ms_);
+    Log(start, backend_->workers_age(clock_.Now()));
     backend_->Send(start);
   }
   void Execute(const StopRun& stop) {
-    spdlog::info("event=stop task={} run={} worker={} call={} reason={}",
-                 stop.task_, stop.run_, stop.worker_->id_.value_,
-                 stop.call_.value_, stop.reason_);
+    Log(stop);
     backend_->Send(stop);
   }
   void Execute(const PollWorker& hold) { backend_->Send(hold); }
@@ -430,47 +413,25 @@
     mesh_.SendEnded(report.session_, report.ended_);
   }
   void Execute(const WorkerLost& lost) {
-    spdlog::warn("event=worker-lost worker={} reason={}", lost.worker_.value_,
-                 lost.reason_);
+    Log(lost);
     ownership_.OwnershipLost(lost.worker_);
   }
-  void Execute(const RunOver& over) {
-    spdlog::info("event=run-over task={} run={} worker={} reason={}",
-                 over.task_, over.run_, over.worker_.value_,
-                 Name(over.reason_));
-  }
-  void Execute(const PollFailed& poll) {
-    spdlog::warn(
-        "event=hold-failed call={} worker={} result={} failures={} runs={}",
-        poll.call_.value_, poll.worker_.value_, Name(poll.result_),
-        poll.failures_, poll.runs_);
-  }
+  void Execute(const RunOver& over) { Log(over); }
+  void Execute(const PollFailed& poll) { Log(poll); }
   void Execute(const LossesCharged& charged) {
-    for (const TaskLosses& one : charged.tasks_) {
-      spdlog::warn(
-          "event=task-lost-worker task={} worker={} cause={} lost={} "
-          "crashes={}",
-          one.task_, charged.worker_.value_, Name(charged.cause_),
-          one.losses_.lost_, one.losses_.crashes_);
-    }
+    Log(charged);
     NoteLosses(charged.tasks_);
     for (const auto& message : SplitTaskLosses(charged.tasks_)) {
       mesh_.SendTaskLosses(message);
     }
   }
-  void Execute(const WorkerRestarted& worker) {
-    spdlog::warn("event=worker-restarted worker={} from={} to={} runs={}",
-                 worker.worker_.value_, worker.from_ms_, worker.to_ms_,
-                 worker.runs_);
-  }
+  void Execute(const WorkerRestarted& worker) { Log(worker); }
   void Execute(const PublishRecord& publish) {
-    spdlog::info("event=publish workers={} draining={}",
-                 publish.record_.workers_.size(), publish.record_.draining_);
+    Log(publish);
     backend_->Publish(publish.record_);
   }
   void Execute(const AcquireWorker& own) {
-    spdlog::info("event=own worker={} fence={}", own.worker_.id_.value_,
-                 own.fence_.value_);
+    Log(own);
     scheduler_.Acquire(own.worker_, own.fence_, clock_.Now(), &scheduler_out_);
   }
   void Execute(const UpdateWorker& update) {
@@ -480,7 +441,7 @@
     scheduler_.DrainWorker(retire.worker_);
   }
   void Execute(const ReleaseWorker& disown) {
-    spdlog::info("event=disown worker={}", disown.worker_.value_);
+    Log(disown);
     scheduler_.Release(disown.worker_, clock_.Now(), &scheduler_out_);
   }
 
