--- a/tests/standins/hosted_store.h
+++ b/tests/standins/hosted_store.h
@@ -94,6 +94,9 @@
     return value;
   }
 
+  /// Items that one answer holds at most.
+  static constexpr size_t kMaxItems = 500;
+
   static Json ToJson(const View& view, const std::string& key,
                      const Item& item) {
     return {{"key", key},
@@ -113,7 +116,9 @@
     auto query = ParseQuery(read.path_);
     const std::string path = read.path_.substr(0, read.path_.find('?'));
     const Json body = Json::parse(read.body_, nullptr, false);
-    if (path == "/-/kv-range") return Range(id, query["prefix"]);
+    if (path == "/-/kv-range") {
+      return Range(id, query["prefix"], query["after"]);
+    }
     if (path == "/-/kv-key") return Key(id, query["key"]);
     if (path == "/-/kv-watch") {
       watches_.push_back({id, query["prefix"], std::stoull(query["after"])});
@@ -145,14 +150,20 @@
     id.view_->server_->Reply(id.request_, ReplyWith(status, body));
   }
 
-  void Range(const Sender& id, const std::string& prefix) {
+  void Range(const Sender& id, const std::string& prefix,
+             const std::string& after) {
     Json items = Json::array();
-    for (const auto& [key, item] : items_) {
-      if (Under(key, prefix)) items.push_back(ToJson(*id.view_, key, item));
+    bool more_pages = false;
+    for (auto one = items_.upper_bound(after); one != items_.end(); ++one) {
+      if (!Under(one->first, prefix)) continue;
+      more_pages = items.size() == kMaxItems;
+      if (more_pages) break;
+      items.push_back(ToJson(*id.view_, one->first, one->second));
     }
-    Reply(
-        id, 200,
-        {{"items", items}, {"more_pages", false}, {"current_rev", revision_}});
+    Reply(id, 200,
+          {{"items", items},
+           {"more_pages", more_pages},
+           {"current_rev", revision_}});
   }
 
   void Key(const Sender& id, const std::string& key) {
@@ -209,11 +220,20 @@
     Notify();
   }
 
-  Json EventsSince(const Watch& watch) const {
-    Json events = Json::array();
+  /// Changes that one answer holds, and the revision to continue from.
+  struct Changes {
+    Json events_ = Json::array();
+    uint64_t revision_ = 0;
+  };
+
+  Changes ChangesSince(const Watch& watch) const {
+    Changes changes{Json::array(), revision_};
+    Json& events = changes.events_;
     for (auto one = history_.upper_bound(watch.after_); one != history_.end();
          ++one) {
       if (!Under(one->second, watch.prefix_)) continue;
+      if (events.size() == kMaxItems) break;
+      if (events.size() + 1 == kMaxItems) changes.revision_ = one->first;
       const auto found = items_.find(one->second);
       if (found == items_.end()) {
         events.push_back(
@@ -223,18 +243,18 @@
             ToJson(*watch.sender_.view_, one->second, found->second));
       }
     }
-    return events;
+    return changes;
   }
 
   void Notify() {
     for (auto watch = watches_.begin(); watch != watches_.end();) {
-      const Json events = EventsSince(*watch);
-      if (events.empty()) {
+      const Changes changes = ChangesSince(*watch);
+      if (changes.events_.empty()) {
         ++watch;
         continue;
       }
       Reply(watch->sender_, 200,
-            {{"events", events}, {"current_rev", revision_}});
+            {{"events", changes.events_}, {"current_rev", changes.revision_}});
       watch = watches_.erase(watch);
     }
   }
