--- a/review/standins.py
+++ b/review/standins.py
@@ -126,6 +126,7 @@
         self.leases = {}
         self.last_lease = 70
         self.changed = asyncio.Event()
+        self.renewed = {}  # lease -> renewals that have arrived
 
     async def start(self, host):
         self.server = Server(self.handle)
@@ -196,9 +197,20 @@
             self.end_lease(lease)
             return 200, {}
         ttl_ms = self.leases[lease][1]
+        self.renewed[lease] = self.renewed.get(lease, 0) + 1
         self.leases[lease] = (now() + ttl_ms / 1000, ttl_ms)
         return 200, {'ttl_ms': ttl_ms}
 
+    async def next_renewal(self, name):
+        """Waits until the record of an instance is renewed."""
+        lease = next(item['lease'] for key, item in self.items.items()
+                     if '/instances/' in key and key.endswith('/' + name))
+        before = self.renewed.get(lease, 0)
+        while self.renewed.get(lease, 0) == before:
+            if lease not in self.leases:
+                raise CannotRun(f'{name} has lost its lease')
+            await asyncio.sleep(0.002)
+
     async def watch(self, query):
         after = int(query['after'])
         until = now() + int(query['wait_ms']) / 1000
@@ -354,6 +366,24 @@
         if expected and expected != self.id:
             return 421, {}
         body = json.loads(body)
+        late_s = self.deployment.late(self, target, body)
+        if late_s is None:
+            return await self.carry_out(target, body)
+        asyncio.get_running_loop().call_later(
+            late_s, lambda: asyncio.create_task(self.late(target, body)))
+        return None
+
+    async def late(self, target, body):
+        """Carries out a call that got no answer."""
+        if not self.up:
+            return
+        answer = await self.carry_out(target, body)
+        self.deployment.record(
+            f'late {target} task={body.get("task")} run={body.get("run")} '
+            f'worker={self.id} life={self.life} answer={answer} '
+            f'lease_left_ms={self.lease_ms - self.clock()}')
+
+    async def carry_out(self, target, body):
         if body.get('fence', 0) < self.fence:
             return self.answer(409, reason='fence')
         self.fence = body.get('fence', 0)
@@ -579,6 +609,9 @@
         self.network = '127.%d.%d.' % (random.randrange(16, 250),
                                        random.randrange(1, 250))
         self.last_host = 1
+        # Of a call to a worker: after how many seconds it is carried out
+        # without an answer, or None.
+        self.late = lambda worker, target, body: None
 
     def host(self):
         """@returns a loopback address that this script uses only once."""
