--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -109,15 +109,18 @@
 
   HostedFixture() : HostedFixture({"--workers", "12"}, "", "") {}
   HostedFixture(const std::vector<std::string>& platform,
-                const std::string& centre_a, const std::string& centre_b)
+                const std::string& centre_a, const std::string& centre_b,
+                const std::pair<std::string, std::string>& names = {"a", "b"})
       : platform_("standin_hosted", platform),
-        a_(folder_, "a", platform_.At("store"), "rpc", "warn", "", centre_a),
-        b_(folder_, "b", platform_.At("store"), "rpc", "warn", "", centre_b) {
+        a_(folder_, names.first, platform_.At("store"), "rpc", "warn", "",
+           centre_a),
+        b_(folder_, names.second, platform_.At("store"), "rpc", "warn", "",
+           centre_b) {
     BOOST_REQUIRE(WaitUntil([&] { return a_.Ready() && b_.Ready(); }));
     BOOST_REQUIRE(WaitUntil([&] { return Serves(a_) && Serves(b_); }));
   }
 
-  HttpRequest Job(int tasks, int ms) {
+  HttpRequest Job(int tasks, int ms, int64_t deadline_ms = kDeadlineMs) {
     char id[17];
     std::snprintf(id, sizeof(id), "%016llx",
                   static_cast<unsigned long long>(++last_job_));
@@ -130,7 +133,7 @@
     return {"POST",
             std::string("/case/") + id,
             {{"Host", "desk.example"},
-             {"Deadline-Ms", std::to_string(kDeadlineMs)}},
+             {"Deadline-Ms", std::to_string(deadline_ms)}},
             body.dump()};
   }
 
@@ -280,6 +283,13 @@
   }
 };
 
+/// Names that don't fit into a string object, as on the users' platform.
+struct LongNamesFixture : HostedFixture {
+  LongNamesFixture()
+      : HostedFixture({"--workers", "12"}, "", "",
+                      {"edge-saint-brieuc-1", "edge-saint-brieuc-2"}) {}
+};
+
 /// Two data centres, each with an instance and half of the workers.
 struct TwoCentresFixture : HostedFixture {
   TwoCentresFixture()
@@ -418,6 +428,36 @@
   BOOST_TEST(Report()["lapsed"] == 0);
 }
 
+// Guards against an instance that ends by SIGABRT at SIGTERM: a run on one of
+// its workers outlasts the drain, so that its record is removed while a write
+// of it is under way.
+BOOST_FIXTURE_TEST_CASE(AStopThatMeetsAWriteOfTheRecordEndsWell,
+                        LongNamesFixture) {
+  constexpr int kOutlastsTheDrainMs = 2800;
+  constexpr int64_t kInTimeMs = 8000;
+  constexpr int kJobs = 16;  // more than the other instance's workers hold
+  Report("PUT", "?store_answer_ms=30");
+  for (HostedInstanceProcess* stopped : {&a_, &b_}) {
+    const HostedInstanceProcess& other = stopped == &a_ ? b_ : a_;
+    std::vector<size_t> jobs;
+    for (int i = 0; i < kJobs; ++i) {
+      jobs.push_back(caller_.Send(
+          other.callers(), Job(1, kOutlastsTheDrainMs, kInTimeMs), kPatience));
+    }
+    Wait(Duration{200});
+    stopped->process().Signal(SIGTERM);
+    BOOST_TEST(caller_.WaitAll());
+    for (const size_t job : jobs)
+      BOOST_TEST(caller_.Answer(job).status_ == 200);
+    BOOST_TEST(stopped->process().WaitExit() == 0);
+    stopped->Restart();
+    BOOST_REQUIRE(WaitUntil([&] { return Serves(*stopped); }));
+    // Until workers are shared out again.
+    Wait(Duration{2000});
+  }
+  CheckRules();
+}
+
 // The platform kills what has not ended 6 s after SIGTERM.
 BOOST_AUTO_TEST_CASE(ADrainedInstanceEndsInTimeThoughTheStoreIsSilent) {
   Report("PUT", "?store_silent=1");
--- a/tests/standins/hosted.cc
+++ b/tests/standins/hosted.cc
@@ -46,6 +46,7 @@
   Faults faults;
   faults.store_down_ = query.count("store_down") > 0;
   faults.store_silent_ = query.count("store_silent") > 0;
+  faults.store_answer_ms_ = std::atoll(query["store_answer_ms"].c_str());
   faults.silent_share_ = std::atof(query["silent"].c_str());
   faults.silent_stops_ = std::atof(query["silent_stops"].c_str());
   faults.silent_polls_ = std::atof(query["silent_polls"].c_str());
--- a/tests/standins/hosted_state.h
+++ b/tests/standins/hosted_state.h
@@ -21,13 +21,14 @@
 
 /// Faults in force; each request to set them replaces them all.
 struct Faults {
-  bool store_down_ = false;    ///< The store answers 503.
-  bool store_silent_ = false;  ///< The store answers nothing.
-  double silent_share_ = 0;    ///< Starts that get no answer,
-  double silent_stops_ = 0;    ///< and stops,
-  double silent_polls_ = 0;    ///< and polls;
-  int64_t late_ms_ = 0;        ///< they are carried out so much later.
-  int worker_ = -1;            ///< The silent one; -1: all.
+  bool store_down_ = false;      ///< The store answers 503.
+  bool store_silent_ = false;    ///< The store answers nothing.
+  int64_t store_answer_ms_ = 0;  ///< From a call of the store to its answer.
+  double silent_share_ = 0;      ///< Starts that get no answer,
+  double silent_stops_ = 0;      ///< and stops,
+  double silent_polls_ = 0;      ///< and polls;
+  int64_t late_ms_ = 0;          ///< they are carried out so much later.
+  int worker_ = -1;              ///< The silent one; -1: all.
 };
 
 /// One run, as its worker saw it.
--- a/tests/standins/hosted_store.h
+++ b/tests/standins/hosted_store.h
@@ -153,7 +153,11 @@
   }
 
   void Reply(const Sender& id, int status, const Json& body) {
-    id.view_->server_->Reply(id.request_, ReplyWith(status, body));
+    const auto reply = [id, reply = ReplyWith(status, body)] {
+      id.view_->server_->Reply(id.request_, reply);
+    };
+    if (world_->faults_.store_answer_ms_ == 0) return reply();
+    After(world_->base_, world_->faults_.store_answer_ms_, reply);
   }
 
   void Range(const Sender& id, const std::string& prefix,
