Free an HTTP client's connections without running the event loop

Seen while reading for the cause of the abort at SIGTERM: ~HttpClient ran the event loop to free its connections, and with it the callbacks of other clients. When an instance ends, the store's client is destroyed after the instance and the client of the workers' calls, so that a worker's answer that had arrived was passed to objects that were gone.

The client keeps the connections to be freed and the exchanges to be failed itself, with one event for both, and its destructor frees them at once.

http_client/DestroyingAClientRunsNoCallbackOfAnother failed before: the other client's callback ran inside the destructor. Not seen with processes.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <strings.h>
 
-#include <memory>
 #include <utility>
 
 #include "socket_address.h"
@@ -17,6 +16,7 @@
 
 /// The same as servers' timeout of idle connections.
 constexpr timeval kIdleTimeout{60, 0};
+constexpr timeval kAtOnce{0, 0};
 
 evhttp_cmd_type ParseMethod(std::string_view method) {
   constexpr std::pair<std::string_view, evhttp_cmd_type> kMethods[] = {
@@ -109,15 +109,14 @@
   return {};
 }
 
+HttpClient::HttpClient(event_base* base)
+    : base_(base), deferred_(evtimer_new(base, &OnDeferred, this)) {}
+
 HttpClient::~HttpClient() {
   while (!exchanges_.empty()) Cancel(exchanges_.begin()->first);
-  for (auto& [address, connections] : idle_) {
-    for (evhttp_connection* connection : connections) {
-      evhttp_connection_free(connection);
-    }
-  }
-  // Runs the events of `FreeLater` that are still pending.
-  event_base_loop(base_, EVLOOP_NONBLOCK);
+  while (!idle_.empty()) DropIdle(idle_.begin()->first);
+  FreeClosing();
+  event_free(deferred_);
 }
 
 evhttp_connection* HttpClient::TakeConnection(const Address& to) {
@@ -172,15 +171,18 @@
 /// libevent does not call back when a connect fails immediately, so the failure
 /// is reported from the event loop.
 void HttpClient::FailLater(ExchangeId id) {
-  using Failure = std::pair<HttpClient*, ExchangeId>;
-  const auto fail = [](evutil_socket_t /*fd*/, int16_t /*what*/, void* arg) {
-    const std::unique_ptr<Failure> failure(static_cast<Failure*>(arg));
-    const auto& [client, failed] = *failure;
-    const auto found = client->exchanges_.find(failed);
-    if (found != client->exchanges_.end()) OnDone(nullptr, &found->second);
-  };
-  const timeval at_once{0, 0};
-  event_base_once(base_, -1, EV_TIMEOUT, fail, new Failure(this, id), &at_once);
+  failed_.push_back(id);
+  event_add(deferred_, &kAtOnce);
+}
+
+void HttpClient::OnDeferred(evutil_socket_t /*fd*/, int16_t /*what*/,
+                            void* arg) {
+  auto* self = static_cast<HttpClient*>(arg);
+  self->FreeClosing();
+  for (const ExchangeId id : std::exchange(self->failed_, {})) {
+    const auto found = self->exchanges_.find(id);
+    if (found != self->exchanges_.end()) OnDone(nullptr, &found->second);
+  }
 }
 
 // libevent reports errors of open connections only.
@@ -238,12 +240,14 @@
 /// Frees a connection from the event loop: libevent still uses it while it
 /// calls back.
 void HttpClient::FreeLater(evhttp_connection* connection) {
-  const auto free_now = [](evutil_socket_t /*fd*/, int16_t /*what*/,
-                           void* arg) {
-    evhttp_connection_free(static_cast<evhttp_connection*>(arg));
-  };
-  const timeval at_once{0, 0};
-  event_base_once(base_, -1, EV_TIMEOUT, free_now, connection, &at_once);
+  closing_.push_back(connection);
+  event_add(deferred_, &kAtOnce);
+}
+
+void HttpClient::FreeClosing() {
+  for (evhttp_connection* connection : std::exchange(closing_, {})) {
+    evhttp_connection_free(connection);
+  }
 }
 
 HttpResponse Fetch(const Address& to, const HttpRequest& request,
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -62,7 +62,8 @@
   using ExchangeId = uint64_t;
 
   /// @param base Event loop; must outlive the client.
-  explicit HttpClient(event_base* base) : base_(base) {}
+  explicit HttpClient(event_base* base);
+  /// Closes all connections without calling back. Not to be called from `done`.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -99,19 +100,24 @@
   };
 
   static void OnDone(evhttp_request* request, void* arg);
+  static void OnDeferred(evutil_socket_t fd, int16_t what, void* arg);
   HttpFailure FailureOf(const Exchange& exchange) const;
   evhttp_connection* TakeConnection(const Address& to);
   /// Closes the idle connections to an address.
   void DropIdle(const Address& to);
   void FailLater(ExchangeId id);
   void FreeLater(evhttp_connection* connection);
+  void FreeClosing();
 
   event_base* base_;
+  event* deferred_;  ///< Deals with `closing_` and `failed_`.
   MonotonicClock clock_;
   ExchangeId next_id_ = 1;
   HttpTraffic traffic_;
   std::map<ExchangeId, Exchange> exchanges_;
   std::map<Address, std::vector<evhttp_connection*>> idle_;
+  std::vector<evhttp_connection*> closing_;
+  std::vector<ExchangeId> failed_;
 };
 
 /// Sends one request and blocks until its response. Runs a private event loop.
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -76,6 +76,33 @@
   BOOST_TEST(!later.HasConnection());
 }
 
+// Guards against a process that ends while a worker answers: the client of the
+// store ran the callbacks of the workers' client, whose owner was gone.
+BOOST_AUTO_TEST_CASE(DestroyingAClientRunsNoCallbackOfAnother) {
+  const EventBase base(event_base_new());
+  TestListener listener;
+  int answered = 0;
+  const auto count = [&](const HttpResponse&) { ++answered; };
+  HttpClient other(base.get());
+  other.Send(listener.address(), {"POST", "/-/hold", {}, "{}"}, kCallTimeout,
+             count);
+  std::unique_ptr<TestSocket> accepted;
+  BOOST_REQUIRE(RunUntil(base.get(), [&] {
+    if (!accepted) accepted = listener.Accept();
+    if (accepted) accepted->ReadAvailable();
+    return accepted && !accepted->received().empty();
+  }));
+  {
+    HttpClient destroyed(base.get());
+    destroyed.Send(listener.address(), {}, kCallTimeout, count);
+    accepted->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  BOOST_TEST(answered == 0);
+  BOOST_TEST(RunUntil(base.get(), [&] { return answered > 0; }));
+  event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  BOOST_TEST(answered == 1);
+}
+
 // A start that was never sent can be sent elsewhere at once, and a worker whose
 // process is gone is told from one that is silent.
 BOOST_AUTO_TEST_CASE(TellsWhyAnExchangeHasNoResponse) {
