Report a connect that fails at once from the event loop

HttpClient promises to call back from the event loop. libevent calls back inside evhttp_make_request when a connect fails immediately (no route), before the caller has recorded its call, and as if an open connection had ended: the call then didn't count as never sent.

An answer that comes before Send returns is kept and reported as a refused connect from the event loop.

http_client/AFailureKnownAtOnceIsReportedFromTheEventLoop: without this change the callback ran inside Send (trial on this client, one run).

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -159,17 +159,19 @@
       FieldBytes(evhttp_request_get_output_headers(exchange.request_));
   const timeval wait = ToTimeval(timeout);
   evhttp_connection_set_timeout_tv(exchange.connection_, &wait);
-  if (evhttp_make_request(exchange.connection_, exchange.request_,
-                          ParseMethod(request.method_),
-                          request.path_.c_str()) != 0) {
-    exchange.request_ = nullptr;
-    FailLater(id);
-  }
+  exchange.sending_ = true;
+  const int error =
+      evhttp_make_request(exchange.connection_, exchange.request_,
+                          ParseMethod(request.method_), request.path_.c_str());
+  exchange.sending_ = false;
+  if (error != 0) exchange.request_ = nullptr;
+  if (exchange.request_ == nullptr) FailLater(id);
   return id;
 }
 
-/// libevent does not call back when a connect fails immediately, so the failure
-/// is reported from the event loop.
+/// Reports a failure from the event loop. When a connect fails immediately,
+/// libevent calls back before the call that sends the request returns, or not
+/// at all.
 void HttpClient::FailLater(ExchangeId id) {
   failed_.push_back(id);
   event_add(deferred_, &kAtOnce);
@@ -196,6 +198,11 @@
 void HttpClient::OnDone(evhttp_request* request, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
   HttpClient* self = exchange->client_;
+  if (exchange->sending_) {
+    exchange->request_ = nullptr;
+    exchange->failure_ = HttpFailure::kRefused;  // to be reported later
+    return;
+  }
   HttpResponse response = ReadResponse(request);
   if (!response.complete_) response.failure_ = self->FailureOf(*exchange);
   self->traffic_.bytes_received_ += ResponseBytes(response);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -93,6 +93,7 @@
     evhttp_request* request_ = nullptr;
     Done done_;
     bool connects_ = false;  ///< Its connection wasn't open before.
+    bool sending_ = false;   ///< `Send` hasn't returned yet.
     Time sent_at_;
     Duration timeout_;
     /// How libevent reported that an open connection failed.
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -103,6 +103,25 @@
   BOOST_TEST(answered == 1);
 }
 
+// Guards against an answer inside the call that asks for it: its caller hasn't
+// recorded the call yet.
+BOOST_AUTO_TEST_CASE(AFailureKnownAtOnceIsReportedFromTheEventLoop) {
+  const EventBase base(event_base_new());
+  const Address unreachable{"255.255.255.255", 9};
+  int failed = 0;
+  const auto count = [&](const HttpResponse& response) {
+    failed += response.failure_ == HttpFailure::kRefused ? 1 : 0;
+  };
+  HttpClient client(base.get());
+  client.Send(unreachable, {}, kCallTimeout, count);
+  BOOST_TEST(failed == 0);
+  BOOST_TEST(RunUntil(base.get(), [&] { return failed > 0; }));
+  HttpClient(base.get()).Send(unreachable, {}, kCallTimeout, count);
+  event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  BOOST_TEST(failed == 1);
+  BOOST_TEST(client.open() == 0U);
+}
+
 // A start that was never sent can be sent elsewhere at once, and a worker whose
 // process is gone is told from one that is silent.
 BOOST_AUTO_TEST_CASE(TellsWhyAnExchangeHasNoResponse) {
