Check how every process ends that a test or the soak stops

The soak took any exit for an end, and one process test in all compared the status after SIGTERM with others dropping it, so that an abort at SIGTERM went unseen. A process must end with status 0 after SIGTERM, and be killed by nothing but SIGKILL; anything else fails the test, or the seed, whose logs are kept. The soak stops all instances at its end, and its instances have names as long as the store's keys allow.

--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <sstream>
 #include <system_error>
+#include <utility>
 
 namespace gentiandeal::process {
 namespace {
@@ -86,7 +87,8 @@
 
 Process::Process(const std::string& program,
                  const std::vector<std::string>& words,
-                 const std::string& output_file) {
+                 const std::string& output_file)
+    : program_(program) {
   const std::string path = ProgramPath(program);
   int input[2];
   int output[2];
@@ -161,8 +163,24 @@
   return addresses;
 }
 
-void Process::Signal(int number) const {
-  if (pid_ > 0) kill(pid_, number);
+void Process::Signal(int number) {
+  if (pid_ <= 0) return;
+  terminated_ = terminated_ || number == SIGTERM;
+  killed_ = killed_ || number == SIGKILL;
+  kill(pid_, number);
+}
+
+void Process::OnReaped(int status, bool program_decides) {
+  const pid_t pid = std::exchange(pid_, -1);
+  status_ = ExitStatus(status);
+  const bool expected =
+      WIFSIGNALED(status)
+          ? killed_ && WTERMSIG(status) == SIGKILL
+          : status_ == 0 || (program_decides && !terminated_ && !killed_);
+  if (expected) return;
+  fault_ = program_ + " " + std::to_string(pid) + " ended with status " +
+           std::to_string(status_);
+  BOOST_ERROR(fault_);
 }
 
 int Process::WaitExit(Duration patience) {
@@ -171,8 +189,7 @@
         if (pid_ <= 0) return true;
         int status = 0;
         if (waitpid(pid_, &status, WNOHANG) != pid_) return false;
-        status_ = ExitStatus(status);
-        pid_ = -1;
+        OnReaped(status, /*program_decides=*/true);
         return true;
       },
       patience);
@@ -191,11 +208,12 @@
 
 void Process::Kill() {
   if (pid_ <= 0) return;
-  kill(pid_, SIGKILL);
   int status = 0;
-  waitpid(pid_, &status, 0);
-  status_ = ExitStatus(status);
-  pid_ = -1;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) {
+    Signal(SIGKILL);
+    waitpid(pid_, &status, 0);
+  }
+  OnReaped(status, /*program_decides=*/false);
 }
 
 int64_t Process::ResidentKib() const {
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -59,13 +59,18 @@
   /// Addresses under `key` of the start-up line.
   std::vector<Address> AllAt(const std::string& key);
 
-  void Signal(int number) const;
+  void Signal(int number);
   /// Waits for the end. @returns the exit status, 128 + signal when killed, or
   /// -1 when the process still runs at the end of `patience`.
   int WaitExit(Duration patience = kPatience);
   /// Everything written to standard output until its end.
   std::string ReadOutput();
+  /// Kills the process unless it has ended, and reaps it.
   void Kill();
+  /// How it has ended otherwise than by the signals sent to it: with status 0
+  /// after SIGTERM, killed by nothing but SIGKILL. Each such end also fails the
+  /// test. Empty while it runs.
+  const std::string& fault() const { return fault_; }
 
   pid_t pid() const { return pid_; }
   /// Resident memory, in KiB.
@@ -73,9 +78,16 @@
 
  private:
   bool ReadLine(std::string* line);
+  /// @param program_decides Whether any exit status will do where no signal
+  ///     has been sent.
+  void OnReaped(int status, bool program_decides);
 
+  std::string program_;
   pid_t pid_ = -1;
   int status_ = -1;
+  bool terminated_ = false;  ///< SIGTERM was sent,
+  bool killed_ = false;      ///< or SIGKILL.
+  std::string fault_;
   int input_ = -1;
   int output_ = -1;
   std::string unread_;
--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -68,6 +68,13 @@
 
 std::string InstanceName(int index) { return {static_cast<char>('a' + index)}; }
 
+/// As long as the key of an instance's record may be.
+std::string FullInstanceName(int index) {
+  constexpr size_t kLongest = 178;
+  std::string name = InstanceName(index);
+  return name.append(kLongest - name.size(), '-');
+}
+
 /// One seed's processes, callers and judgement.
 class Soak {
  public:
@@ -103,6 +110,7 @@
       RunTimers();
       for (auto& [id, job] : jobs_) Advance(&job);
     }
+    StopInstances();
     BOOST_TEST(Judge() == 0, "seed " << extent_.seed_ << " breaks a rule");
   }
 
@@ -128,9 +136,8 @@
       Instance& one = At(i);
       Address store;
       one.store_path_ = proxy_.Add(stores[static_cast<size_t>(i)], &store);
-      const std::string name = InstanceName(i);
       one.process_ = std::make_unique<HostedInstanceProcess>(
-          folder_, name, store, "rpc", "info", LogFile(i),
+          folder_, FullInstanceName(i), store, "rpc", "info", LogFile(i),
           centres_ > 1 ? Centre(i) : "");
       one.caller_path_ = proxy_.Add(one.process_->callers(), &one.callers_);
     }
@@ -476,6 +483,7 @@
     Later(clock_.Now() + kLook, [this, instance, down] {
       Process& ending = At(instance).process_->process();
       if (ending.WaitExit(Duration{0}) < 0) return AwaitEnd(instance, down);
+      NoteEnd(instance);
       Later(clock_.Now() + down, [this, instance] {
         At(instance).process_->Restart("info");
         Note("start " + InstanceName(instance));
@@ -484,6 +492,26 @@
     });
   }
 
+  /// Records how the process of an instance has ended.
+  void NoteEnd(int instance) {
+    const std::string& fault = At(instance).process_->process().fault();
+    if (fault.empty()) return;
+    ++bad_ends_;
+    std::cout << "instance " << InstanceName(instance) << " at "
+              << Clock(clock_.Now()) << ": " << fault << "\n";
+  }
+
+  void StopInstances() {
+    for (Instance& one : instances_) one.process_->process().Signal(SIGTERM);
+    for (int i = 0; i < extent_.instances_; ++i) {
+      if (At(i).process_->process().WaitExit() < 0) {
+        ++bad_ends_;
+        std::cout << "instance " << InstanceName(i) << " runs on\n";
+      }
+      NoteEnd(i);
+    }
+  }
+
   // Judgement.
 
   /// @returns the number of broken rules.
@@ -525,12 +553,14 @@
               << " fault steps; two runs at once " << overlaps.size()
               << ", overbooked " << overbooked << ", refused but ran "
               << refused << ", evacuations " << evacuations_.count()
-              << ", began there " << evacuated << std::endl;
+              << ", began there " << evacuated << ", bad ends " << bad_ends_
+              << std::endl;
     size_t printed = 0;
     for (const std::string& id : failed) {
       if (++printed <= kMaxPrinted) PrintJob(id, runs[id]);
     }
-    const size_t broken = overlaps.size() + overbooked + refused + evacuated;
+    const size_t broken =
+        overlaps.size() + overbooked + refused + evacuated + bad_ends_;
     if (broken == 0) {
       std::filesystem::remove_all(logs_);
     } else {
@@ -632,6 +662,7 @@
   Caller caller_;
   Time begin_;
   uint64_t last_job_ = 0;
+  size_t bad_ends_ = 0;  ///< Of instances' processes.
   std::map<std::string, Job> jobs_;
   std::multimap<Time, std::function<void()>> timers_;
   std::vector<std::pair<Time, std::string>> done_;
