Let no exception end a process unseen

An exception that leaves a callback ended the process without a line in its log, and the buffered lines were lost: the abort at SIGTERM left "terminate called" on standard error alone. It is logged now with the calls that led to it, and the buffer is written, before the process aborts (terminate_log/AnExceptionInACallbackIsLoggedWithItsPlace).

--- a/src/cmd_explain.cc
+++ b/src/cmd_explain.cc
@@ -7,6 +7,7 @@
 #include "explain_endpoint.h"
 #include "http_client.h"
 #include "http_status.h"
+#include "json_text.h"
 
 namespace gentiandeal {
 namespace {
@@ -20,7 +21,7 @@
 std::string GetText(const Json& object, const char* key) {
   const auto found = object.find(key);
   if (found == object.end() || found->is_null()) return "-";
-  return found->is_string() ? found->get<std::string>() : found->dump();
+  return found->is_string() ? found->get<std::string>() : ToJsonText(*found);
 }
 
 /// Value of a member; null when absent.
--- a/src/cmd_load.cc
+++ b/src/cmd_load.cc
@@ -6,6 +6,7 @@
 
 #include "command_line.h"
 #include "job_json.h"
+#include "json_text.h"
 #include "load_generator.h"
 
 namespace gentiandeal {
@@ -129,7 +130,7 @@
 }
 
 std::string ToText(const Json& value) {
-  return value.is_string() ? value.get<std::string>() : value.dump();
+  return value.is_string() ? value.get<std::string>() : ToJsonText(value);
 }
 
 void PrintReport(const Json& report) {
@@ -236,7 +237,7 @@
   const TrafficResult result = generator.Run(PlanTraffic(traffic));
   const Json report = MakeReport(options, result);
   if (options.json_) {
-    std::cout << report.dump() << std::endl;
+    std::cout << ToJsonText(report) << std::endl;
   } else {
     PrintReport(report);
   }
--- a/src/cmd_serve.cc
+++ b/src/cmd_serve.cc
@@ -12,7 +12,9 @@
 #include "boot_settings.h"
 #include "command_line.h"
 #include "gentiandeal_p.h"
+#include "json_text.h"
 #include "process_memory.h"
+#include "terminate_log.h"
 
 namespace gentiandeal {
 namespace {
@@ -41,6 +43,7 @@
   logger->set_level(spdlog::level::from_str(level));
   logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(std::move(logger));
+  LogBeforeTerminate();
 }
 
 void PrintListeningEvent(const EntryInstance& instance) {
@@ -48,7 +51,7 @@
   line["event"] = "listening";
   line["callers"] = ToString(instance.callers());
   line["peers"] = ToString(instance.peers());
-  std::cout << line.dump() << std::endl;
+  std::cout << ToJsonText(line) << std::endl;
 }
 
 int RunInstance(const Init& init) {
--- a/src/cmd_settings.cc
+++ b/src/cmd_settings.cc
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "commands.h"
+#include "json_text.h"
 #include "settings_store.h"
 
 namespace gentiandeal {
@@ -65,7 +66,7 @@
     Json line = {{"error", Name(code)}, {"message", error.message()}};
     if (!change_id.empty()) line["change"] = change_id;
     if (!diagnostics.empty()) line["faults"] = ToJson(diagnostics);
-    std::cout << line.dump() << "\n";
+    std::cout << ToJsonText(line) << "\n";
     return ExitCodeFor(error);
   }
   for (const Diagnostic& diagnostic : diagnostics) {
@@ -83,7 +84,7 @@
       LoadSettings(options.path_, &settings, &diagnostics);
   if (error) return PrintError(options, error, diagnostics);
   if (options.json_) {
-    std::cout << Json{{"branches", settings.teams_.size()}}.dump() << "\n";
+    std::cout << ToJsonText({{"branches", settings.teams_.size()}}) << "\n";
   } else {
     std::cout << "valid, branches: " << settings.teams_.size() << "\n";
   }
@@ -125,10 +126,9 @@
               << "\n";
   }
   if (!options.json_) return kExitOk;
-  std::cout << Json{{"revision", content.revision_.value_},
-                    {"branch", options.branch_},
-                    {"values", std::move(list)}}
-                   .dump()
+  std::cout << ToJsonText({{"revision", content.revision_.value_},
+                           {"branch", options.branch_},
+                           {"values", std::move(list)}})
             << "\n";
   return kExitOk;
 }
@@ -141,9 +141,8 @@
   if (error) return PrintError(options, error, diagnostics);
   if (!options.branch_.empty()) return ShowBranch(options, content);
   if (options.json_) {
-    std::cout << Json{{"revision", content.revision_.value_},
-                      {"branches", content.branches_}}
-                     .dump()
+    std::cout << ToJsonText({{"revision", content.revision_.value_},
+                             {"branches", content.branches_}})
               << "\n";
     return kExitOk;
   }
@@ -234,9 +233,9 @@
     return PrintError(options, ended.error_, editor.diagnostics(), id);
   }
   if (options.json_) {
-    std::cout
-        << Json{{"revision", ended.revision_.value_}, {"change", id}}.dump()
-        << "\n";
+    std::cout << ToJsonText(
+                     {{"revision", ended.revision_.value_}, {"change", id}})
+              << "\n";
   } else {
     std::cout << "revision " << ended.revision_.value_ << ", change " << id
               << "\n";
--- a/src/cmd_status.cc
+++ b/src/cmd_status.cc
@@ -4,6 +4,7 @@
 
 #include "command_line.h"
 #include "http_client.h"
+#include "json_text.h"
 
 namespace gentiandeal {
 namespace {
@@ -17,7 +18,7 @@
 std::string GetText(const Json& object, const char* key) {
   const auto found = object.find(key);
   if (found == object.end()) return {};
-  return found->is_string() ? found->get<std::string>() : found->dump();
+  return found->is_string() ? found->get<std::string>() : ToJsonText(*found);
 }
 
 /// Value of a member; null when absent.
@@ -55,7 +56,7 @@
   }
   const Json stats = GetMember(status, "stats");
   for (const auto& [name, value] : stats.items()) {
-    std::printf("%-32s %s\n", name.c_str(), value.dump().c_str());
+    std::printf("%-32s %s\n", name.c_str(), ToJsonText(value).c_str());
   }
 }
 
--- a/src/explain_endpoint.cc
+++ b/src/explain_endpoint.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "http_status.h"
+#include "json_text.h"
 
 namespace gentiandeal {
 namespace {
@@ -15,9 +16,7 @@
 constexpr int kMethodNotAllowed = 405;
 
 HttpReply Refusal(int status, const std::string& message) {
-  return JsonReply(status, nlohmann::json({{"error", message}})
-                               .dump(-1, ' ', false,
-                                     nlohmann::json::error_handler_t::replace));
+  return JsonReply(status, ToJsonText({{"error", message}}));
 }
 
 /// Decodes the percent encoding of a URL. @returns false if it is malformed.
--- a/src/explain_json.cc
+++ b/src/explain_json.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "json_text.h"
+
 namespace gentiandeal {
 namespace {
 
@@ -98,7 +100,7 @@
   }
   json["own"] = explanation.own_ ? ToJson(*explanation.own_) : Json();
   // Names of workers and instances may have been written by others.
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return ToJsonText(json);
 }
 
 }  // namespace gentiandeal
--- a/src/job_json.cc
+++ b/src/job_json.cc
@@ -6,6 +6,7 @@
 #include "base64.h"
 #include "caller_request.h"
 #include "json_checks.h"
+#include "json_text.h"
 
 namespace gentiandeal {
 namespace {
@@ -304,7 +305,7 @@
     AddBody(task.body_, &one);
     tasks.push_back(std::move(one));
   }
-  return json.dump();
+  return ToJsonText(json);
 }
 
 std::string AnswerToJson(const JobAnswer& answer, std::string_view detail) {
@@ -314,7 +315,7 @@
     for (const TaskAnswer& task : answer.tasks_) {
       tasks.push_back(TaskAnswerToJson(task));
     }
-    return json.dump();
+    return ToJsonText(json);
   }
   json["error"] = Name(static_cast<Errc>(answer.error_.value()));
   json["message"] =
@@ -333,7 +334,7 @@
   // reached the submission's owner.
   const bool owner_unreachable = answer.error_ == Errc::kOwnerUnreachable;
   if (owner_unreachable) json["this_attempt"] = "not-run";
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return ToJsonText(json);
 }
 
 std::error_code ParseAnswer(std::string_view text, JobAnswer* out) {
--- a/src/settings_document.cc
+++ b/src/settings_document.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "json_text.h"
+
 namespace gentiandeal {
 namespace {
 
@@ -157,7 +159,7 @@
 }
 
 std::string WriteRecord(const ChangeRecord& record) {
-  return ToJson(record).dump();
+  return ToJsonText(ToJson(record));
 }
 
 std::error_code ReadRecord(std::string_view text, ChangeRecord* out) {
@@ -177,7 +179,7 @@
   const Json document = {{"revision", content.revision_.value_},
                          {"branches", content.branches_},
                          {"changes", std::move(changes)}};
-  return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return ToJsonText(document);
 }
 
 std::error_code ReadDocument(std::string_view text, SettingsContent* out,
--- a/src/status.cc
+++ b/src/status.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "json_text.h"
+
 namespace gentiandeal {
 namespace {
 
@@ -141,7 +143,7 @@
   stats["requests"] = view.caller_stats_->requests_;
   stats["refused_malformed"] = view.caller_stats_->refused_malformed_;
   for (const auto& [name, value] : view.extra_counters_) stats[name] = value;
-  return json.dump();
+  return ToJsonText(json);
 }
 
 std::string MetricsText(const InstanceView& view) {
--- a/src/worker_ownership.cc
+++ b/src/worker_ownership.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "json_checks.h"
+#include "json_text.h"
 
 namespace gentiandeal {
 namespace {
@@ -65,7 +66,7 @@
   json["link_bytes_per_s"] = record.link_rate_.bytes_per_s_;
   json["draining"] = record.draining_;
   json["workers"] = record.workers_;
-  return json.dump();
+  return ToJsonText(json);
 }
 
 void WorkerOwnership::InstanceListed(const InstanceRecord& record) {
