Let tasks without room wait at their coordinator

Cause: the scheduler reported tasks beyond its 4,096 waiting ones as expired, and the coordinator of a started job assigns an expired task again. In one process both follow each other within one pass of the event loop, until the job's time is up.

A full queue is reported as kNoRoom now. The task waits at the coordinator for the next tick, the owner gets nothing for 100 ms, and about two of the widest jobs are assigned a tick. A task that the own scheduler refuses twice by one load report waits as well: with an evacuation and workers lost between two reports, that chain had no end either (read, not seen).

Open: later steps still pass no admission.

--- a/src/hosted_log.cc
+++ b/src/hosted_log.cc
@@ -39,6 +39,11 @@
       report.queued_);
 }
 
+void Log(const JobAwaitsRoom& job) {
+  spdlog::info("event=awaits-room request={} owner={} end={}", job.job_,
+               job.owner_.value_, Name(job.end_));
+}
+
 void Log(const JobRejoined& job) {
   spdlog::info("event=rejoined request={} age_ms={}", job.job_, job.age_.ms_);
 }
--- a/src/hosted_log.h
+++ b/src/hosted_log.h
@@ -15,6 +15,7 @@
 void Log(const TaskReassigned& task);
 void Log(const BatchReassigned& batch);
 void Log(const ReportRefused& report);
+void Log(const JobAwaitsRoom& job);
 void Log(const JobRejoined& job);
 /// @param entries_age Since the entries of workers were known to be up to date.
 void Log(const StartRun& start, Duration entries_age);
--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -149,6 +149,7 @@
   count("room_jobs_recalled", coordinator.recalled_);
   count("room_tasks_assigned", coordinator.tasks_assigned_);
   count("room_tasks_moved", coordinator.tasks_reassigned_);
+  count("room_jobs_awaited", coordinator.awaited_room_);
   count("runs_started", owner.starts_);
   count("starts_refused", owner.starts_refused_);
   count("starts_unanswered", owner.starts_unanswered_);
@@ -160,6 +161,7 @@
   count("runs_lapsed", owner.leases_expired_);
   count("runs_stalled", owner.stalled_);
   count("tasks_expired", owner.expired_);
+  count("tasks_without_room", owner.without_room_);
   AddLabelled(
       &families, "batches_refused", "when",
       {{"arrived", owner.batches_refused_}, {"queued", owner.batches_shed_}});
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -17,6 +17,12 @@
 constexpr Duration kRetryAfter{1000};
 /// Beyond this, the length of a backlog says little: overload rarely lasts.
 constexpr Duration kMaxRetryAfter{8000};
+/// An owner that was full gets no tasks for this long. Load reports come about
+/// that often.
+constexpr Duration kFullOwnerMemory{100};
+/// Tasks that had to wait for room and are assigned in one tick, about: a full
+/// owner returns them all.
+constexpr uint64_t kMaxAwaitingPerTick = config::kMaxTasksPerJob;
 /// Reason of a job that failed since a task of it crashes workers.
 constexpr std::string_view kCrashesWorkers = "crashes-workers";
 /// Reason of a job that was given up since too many workers were lost under a
@@ -128,11 +134,11 @@
       });
 }
 
-std::vector<const PoolLoad*> JobCoordinator::PoolLoads(
-    const std::string& pool) const {
+std::vector<const PoolLoad*> JobCoordinator::PoolLoads(const std::string& pool,
+                                                       Time now) const {
   std::vector<const PoolLoad*> loads;
   for (const auto& [name, owner] : owners_) {
-    if (owner.load_.draining_) continue;
+    if (owner.load_.draining_ || now < owner.full_until_) continue;
     for (const PoolLoad& load : owner.load_.pools_) {
       if (load.pool_ == pool) loads.push_back(&load);
     }
@@ -140,6 +146,16 @@
   return loads;
 }
 
+bool JobCoordinator::HasFullOwner(const std::string& pool, Time now) const {
+  return std::any_of(owners_.begin(), owners_.end(), [&](const auto& entry) {
+    const Owner& owner = entry.second;
+    return !owner.load_.draining_ && now < owner.full_until_ &&
+           std::any_of(
+               owner.load_.pools_.begin(), owner.load_.pools_.end(),
+               [&](const PoolLoad& load) { return load.pool_ == pool; });
+  });
+}
+
 void JobCoordinator::Refuse(RequestId request, std::string_view reason,
                             Duration wait, Duration slack,
                             CoordinatorOutbox* out) {
@@ -190,9 +206,11 @@
                                    Slack(spec)});
     return;
   }
-  const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_);
+  const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_, now);
   if (loads.empty()) {
-    return Refuse(submit.request_, "no-workers", {}, {}, out);
+    const bool full = HasFullOwner(spec.pool_, now);
+    return Refuse(submit.request_, full ? "overloaded" : "no-workers", {}, {},
+                  out);
   }
   if (!FitsSomewhere(spec)) {
     return Refuse(submit.request_, "never-runnable", {}, {}, out);
@@ -202,7 +220,7 @@
   }
   const HostedJobStep& first = spec.steps_[0];
   const Duration slack = Slack(spec);
-  const bool by_owners = spec.admitted_by_owners_ && FitsOneOwner(spec);
+  const bool by_owners = spec.admitted_by_owners_ && FitsOneOwner(spec, now);
   if (by_owners) {
     // Even if reports promise no start in time: only owners know what is free.
     if (PlanBatch(spec, 0, first.count_, {}, now).shares_.empty()) {
@@ -271,8 +289,23 @@
     case TaskEnd::kLost:
       ++task.reassignments_;
       break;
-    case TaskEnd::kRefused:
-      break;
+    case TaskEnd::kRefused: {
+      // The own workers' scheduler answers within the same pass, and its load
+      // is reported once a pass.
+      const auto known = owners_.find(owner.value_);
+      if (owner != self_ || known == owners_.end()) break;
+      const uint64_t report = known->second.report_;
+      if (std::exchange(task.returned_report_, report) != report) break;
+      return AwaitRoom(ref.job_, owner, ended.end_, out);
+    }
+    case TaskEnd::kNoRoom: {
+      const auto known = owners_.find(owner.value_);
+      if (known != owners_.end()) {
+        known->second.full_until_ = now + kFullOwnerMemory;
+      }
+      if (!job.started_) return Abandon(ref.job_, "overloaded", now, out);
+      return AwaitRoom(ref.job_, owner, ended.end_, out);
+    }
     case TaskEnd::kCrashes:
       CancelAssigned(&job, now, out);
       ++stats_.crashing_;
@@ -291,6 +324,37 @@
   PlaceReady(ref.job_, now, out);
 }
 
+void JobCoordinator::AwaitRoom(uint64_t id, const InstanceName& owner,
+                               TaskEnd end, CoordinatorOutbox* out) {
+  Job& job = jobs_[id];
+  await_room_.insert({job.spec_->band_, id});
+  if (std::exchange(job.awaited_room_, true)) return;
+  ++stats_.awaited_room_;
+  out->push_back(JobAwaitsRoom{job.spec_->id_, owner, end});
+}
+
+void JobCoordinator::PlaceAwaitingRoom(Time now, CoordinatorOutbox* out) {
+  const uint64_t limit = stats_.tasks_assigned_ + kMaxAwaitingPerTick;
+  std::map<std::string, bool> full_pools;
+  for (const auto& [band, id] :
+       std::vector(await_room_.begin(), await_room_.end())) {
+    const Job& job = jobs_.at(id);
+    if (now >= UsefulUntil(job)) {
+      await_room_.erase({band, id});
+      Abandon(id, "too-late", now, out);
+      continue;
+    }
+    const std::string& pool = job.spec_->pool_;
+    const auto [full, added] = full_pools.try_emplace(pool);
+    if (added) {
+      full->second = PoolLoads(pool, now).empty() && HasFullOwner(pool, now);
+    }
+    if (!full->second && stats_.tasks_assigned_ < limit) {
+      PlaceReady(id, now, out);
+    }
+  }
+}
+
 Time JobCoordinator::UsefulUntil(const Job& job) {
   const Duration within =
       std::min(job.spec_->useful_within_, job.spec_->deadline_);
@@ -381,6 +445,7 @@
   }
   jobs_by_request_.erase(job.request_.value_);
   jobs_by_id_.erase(job.spec_->id_);
+  await_room_.erase({job.spec_->band_, id});
   jobs_.erase(found);
 }
 
@@ -442,6 +507,7 @@
   Owner& known = owners_[owner.value_];
   known.data_centre_ = data_centre;
   known.load_ = load;
+  known.report_ = ++last_report_;
 }
 
 bool JobCoordinator::AwaitsTasksAt(const InstanceName& owner) const {
@@ -483,6 +549,7 @@
     CancelAssigned(&jobs_[id], now, out);
     Finish(id, HostedJobOutcome::kTimedOut, "deadline", out);
   }
+  if (!await_room_.empty()) PlaceAwaitingRoom(now, out);
 }
 
 void JobCoordinator::Resume(Time now, CoordinatorOutbox* out) {
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -114,6 +114,14 @@
   Duration expected_wait_;
 };
 
+/// Tells that tasks of a job wait here until an owner has room; for logs. Once
+/// a job.
+struct JobAwaitsRoom {
+  std::string job_;
+  InstanceName owner_;  ///< That returned a task.
+  TaskEnd end_ = TaskEnd::kNoRoom;
+};
+
 /// Tells that a caller sent a job again that is open here; for logs.
 struct JobRejoined {
   std::string job_;
@@ -122,7 +130,7 @@
 
 using CoordinatorCommand =
     std::variant<AnswerHostedJob, SendAssign, SendCancel, SendRecall,
-                 TaskReassigned, BatchReassigned, JobRejoined>;
+                 TaskReassigned, BatchReassigned, JobAwaitsRoom, JobRejoined>;
 using CoordinatorOutbox = std::vector<CoordinatorCommand>;
 
 struct JobCoordinatorStats {
@@ -138,7 +146,8 @@
   /// Tasks assigned again after an owner reported them as not done.
   uint64_t tasks_reassigned_ = 0;
   uint64_t batches_refused_ = 0;  ///< By owners.
-  uint64_t crashing_ = 0;  ///< Given up, as workers were lost under a task.
+  uint64_t crashing_ = 0;      ///< Given up, as workers were lost under a task.
+  uint64_t awaited_room_ = 0;  ///< Jobs with tasks that no owner had room for.
 };
 
 /// Jobs accepted by this instance, and the last known state of all owners.
@@ -224,6 +233,8 @@
     TaskState state_ = TaskState::kWaiting;
     uint32_t failures_ = 0;
     uint32_t reassignments_ = 0;  ///< After `kLost`.
+    /// Load report by which it was assigned here when it was returned last.
+    uint64_t returned_report_ = 0;
     TaskSerial serial_;
     InstanceName owner_;
   };
@@ -238,6 +249,7 @@
     std::string_view reason_;  ///< Reason why it was abandoned.
     uint32_t assigned_ = 0;    ///< Number of tasks assigned to owners.
     std::set<std::string> refused_by_;  ///< Owners that refused a batch.
+    bool awaited_room_ = false;  ///< Whether tasks have had to wait here.
     /// An owner refused its share of a step while others took theirs: the next
     /// one can't refuse it.
     bool committed_ = false;
@@ -261,6 +273,8 @@
   struct Owner {
     std::string data_centre_;
     OwnerLoad load_;
+    uint64_t report_ = 0;  ///< Counts the load reports of all owners.
+    Time full_until_;      ///< It has returned a task for lack of room.
     /// By band: the last batch that it refused.
     std::array<RefusedBatch, kPriorityBands> refused_{};
   };
@@ -320,26 +334,37 @@
   /// Returns the instance at which a job is open or may still have runs; null
   /// if none is known.
   const std::string* FindOpenElsewhere(const std::string& id, Time now) const;
-  /// Loads of a pool at all owners that aren't draining.
-  std::vector<const PoolLoad*> PoolLoads(const std::string& pool) const;
+  /// Loads of a pool at all owners that accept tasks: those that are draining
+  /// or full don't.
+  std::vector<const PoolLoad*> PoolLoads(const std::string& pool,
+                                         Time now) const;
+  /// Whether any owner of the pool's workers would accept tasks but is full.
+  bool HasFullOwner(const std::string& pool, Time now) const;
   /// Returns the cost of a task at an owner, in milliseconds of expected wait;
   /// absent if it can't be assigned there.
   std::optional<double> OwnerCost(const HostedJob& job, uint32_t step,
                                   const TaskRecord& task,
-                                  const Placement& placement,
+                                  const Placement& placement, Time now,
                                   const std::string& name, Owner* owner) const;
   /// Chooses the cheapest owner for a task of a step. @returns null if there is
   /// none.
   Owner* SelectOwner(const HostedJob& job, uint32_t step,
                      const TaskRecord& task, const Placement& placement,
-                     std::string* name);
+                     Time now, std::string* name);
   /// Assigns all waiting tasks whose steps have no unfinished dependency.
   void PlaceReady(uint64_t id, Time now, CoordinatorOutbox* out);
+  /// Keeps a returned task until `PlaceAwaitingRoom`. Assigned again at once,
+  /// it might be returned over and over.
+  void AwaitRoom(uint64_t id, const InstanceName& owner, TaskEnd end,
+                 CoordinatorOutbox* out);
+  /// Assigns tasks that wait for room, as far as owners have some, and ends the
+  /// jobs for which it comes too late.
+  void PlaceAwaitingRoom(Time now, CoordinatorOutbox* out);
   void Place(uint64_t id, Job* job, uint32_t step, uint32_t index, Time now,
              Placement* placement);
   /// Whether an owner could start the first step in time if nothing else waited
   /// there. Otherwise its tasks are shared out among the owners one by one.
-  bool FitsOneOwner(const HostedJob& job) const;
+  bool FitsOneOwner(const HostedJob& job, Time now) const;
   /// Chooses owners for tasks of a step: one for all of them if possible.
   BatchPlan PlanBatch(const HostedJob& job, uint32_t step, size_t tasks,
                       const std::set<std::string>& excluded, Time now) const;
@@ -374,12 +399,14 @@
   LinkRate link_rate_;
   uint64_t last_job_ = 0;
   uint64_t last_serial_ = 0;
+  uint64_t last_report_ = 0;
   std::map<std::string, Owner> owners_;
   std::map<std::string, std::vector<LeasedWorkerRef>> workers_;
   std::map<uint64_t, Job> jobs_;
   std::unordered_map<uint64_t, uint64_t> jobs_by_request_;
   std::unordered_map<std::string, uint64_t> jobs_by_id_;
   std::unordered_map<uint64_t, TaskRef> tasks_;          // by serial
+  std::set<std::pair<uint8_t, uint64_t>> await_room_;    // band and job
   std::map<std::string, OpenElsewhere> open_elsewhere_;  // by instance
   /// Jobs that were given up and may still have runs, until the given time.
   std::unordered_map<std::string, Time> ending_;
--- a/src/job_coordinator_explain.cc
+++ b/src/job_coordinator_explain.cc
@@ -101,7 +101,8 @@
   const HostedJobStep& step = job.steps_[0];
   PlacementExplanation explanation;
   explanation.slack_ = Slack(job);
-  explanation.by_owners_ = job.admitted_by_owners_ && scratch.FitsOneOwner(job);
+  explanation.by_owners_ =
+      job.admitted_by_owners_ && scratch.FitsOneOwner(job, now);
   const BatchPlan plan = scratch.PlanBatch(job, 0, step.count_, {}, now);
   if (explanation.by_owners_) explanation.expected_wait_ = plan.expected_wait_;
   // The view changes with the decision: describe it before.
@@ -110,8 +111,9 @@
     OwnerExplanation& one = owners[name];
     one.owner_ = {name};
     one.data_centre_ = owner.data_centre_;
-    one.verdict_ = owner.load_.draining_ ? OwnerVerdict::kDraining
-                                         : OwnerVerdict::kNoWorkers;
+    one.verdict_ = owner.load_.draining_     ? OwnerVerdict::kDraining
+                   : now < owner.full_until_ ? OwnerVerdict::kRefusedLately
+                                             : OwnerVerdict::kNoWorkers;
   }
   for (const BatchCandidate& candidate : plan.candidates_) {
     OwnerExplanation& one = owners[*candidate.name_];
@@ -121,7 +123,7 @@
                        ? VerdictOn(plan, candidate, step.count_, Slack(job))
                        : OwnerVerdict::kHigherCost;
     if (!explanation.by_owners_) {
-      one.cost_ = scratch.OwnerCost(job, 0, {}, {}, *candidate.name_,
+      one.cost_ = scratch.OwnerCost(job, 0, {}, {}, now, *candidate.name_,
                                     &scratch.owners_.at(*candidate.name_));
     }
   }
--- a/src/job_coordinator_placement.cc
+++ b/src/job_coordinator_placement.cc
@@ -57,10 +57,13 @@
 
 std::optional<double> JobCoordinator::OwnerCost(
     const HostedJob& job, uint32_t step_index, const TaskRecord& task,
-    const Placement& placement, const std::string& name, Owner* owner) const {
+    const Placement& placement, Time now, const std::string& name,
+    Owner* owner) const {
   const HostedJobStep& step = job.steps_[step_index];
   PoolLoad* load = FindPool(&owner->load_, job.pool_);
-  if (owner->load_.draining_ || load == nullptr) return std::nullopt;
+  if (owner->load_.draining_ || now < owner->full_until_ || load == nullptr) {
+    return std::nullopt;
+  }
   const bool near = owner->data_centre_ == data_centre_;
   double cost = near ? 0 : static_cast<double>(kRemoteDataCentrePenalty.ms_);
   if (name != self_.value_) {
@@ -88,15 +91,14 @@
   return cost + kWaitPenalty + static_cast<double>(wait.ms_);
 }
 
-JobCoordinator::Owner* JobCoordinator::SelectOwner(const HostedJob& job,
-                                                   uint32_t step_index,
-                                                   const TaskRecord& task,
-                                                   const Placement& placement,
-                                                   std::string* name) {
+JobCoordinator::Owner* JobCoordinator::SelectOwner(
+    const HostedJob& job, uint32_t step_index, const TaskRecord& task,
+    const Placement& placement, Time now, std::string* name) {
   Owner* best = nullptr;
   double best_cost = 0;
   for (auto& [key, owner] : owners_) {
-    const auto cost = OwnerCost(job, step_index, task, placement, key, &owner);
+    const auto cost =
+        OwnerCost(job, step_index, task, placement, now, key, &owner);
     if (cost && (best == nullptr || *cost < best_cost)) {
       best = &owner;
       best_cost = *cost;
@@ -106,13 +108,13 @@
   return best;
 }
 
-bool JobCoordinator::FitsOneOwner(const HostedJob& job) const {
+bool JobCoordinator::FitsOneOwner(const HostedJob& job, Time now) const {
   const HostedJobStep& first = job.steps_[0];
   PlacementRequest request;
   request.count_ = first.count_;
   request.need_ = first.need_;
   const Duration slack = Slack(job);
-  for (const PoolLoad* load : PoolLoads(job.pool_)) {
+  for (const PoolLoad* load : PoolLoads(job.pool_, now)) {
     PoolLoad unqueued = *load;
     unqueued.queued_cpu_milli_ = {};
     if (ExpectedWait({&unqueued}, request) <= slack) return true;
@@ -134,7 +136,8 @@
   std::vector<Candidate>& candidates = plan.candidates_;
   for (const auto& [name, owner] : owners_) {
     const PoolLoad* load = FindPool(&owner.load_, job.pool_);
-    if (owner.load_.draining_ || load == nullptr || excluded.count(name) > 0) {
+    if (owner.load_.draining_ || now < owner.full_until_ || load == nullptr ||
+        excluded.count(name) > 0) {
       continue;
     }
     const bool near = owner.data_centre_ == data_centre_;
@@ -278,7 +281,9 @@
 
 void JobCoordinator::PlaceReady(uint64_t id, Time now, CoordinatorOutbox* out) {
   Job& job = jobs_[id];
+  await_room_.erase({job.spec_->band_, id});
   Placement placement;
+  bool any_left = false;
   for (uint32_t step = 0; step < job.steps_.size(); ++step) {
     const auto& after = job.spec_->steps_[step].depends_on_;
     if (std::any_of(after.begin(), after.end(), [&](uint32_t dependency) {
@@ -293,18 +298,26 @@
     }
     if (job.by_owners_) {
       PlaceBatch(id, &job, step, waiting, now, &placement);
-      continue;
-    }
-    for (const uint32_t index : waiting) {
-      Place(id, &job, step, index, now, &placement);
+    } else {
+      for (const uint32_t index : waiting) {
+        Place(id, &job, step, index, now, &placement);
+      }
     }
+    any_left = any_left ||
+               std::any_of(waiting.begin(), waiting.end(), [&](uint32_t index) {
+                 return job.steps_[step][index].state_ == TaskState::kWaiting;
+               });
   }
   for (auto& [owner_and_step, assign] : placement.assigns_) {
     assign.job_started_ = placement.any_immediate_ || job.started_;
     assign.refusable_ = job.by_owners_ && !job.started_ && !job.committed_;
     out->push_back(SendAssign{{owner_and_step.first}, std::move(assign)});
   }
-  if (job.assigned_ == 0) Abandon(id, "no-workers", now, out);
+  if (any_left && HasFullOwner(job.spec_->pool_, now)) {
+    await_room_.insert({job.spec_->band_, id});
+  } else if (job.assigned_ == 0) {
+    Abandon(id, "no-workers", now, out);
+  }
 }
 
 void JobCoordinator::Place(uint64_t id, Job* job, uint32_t step, uint32_t index,
@@ -313,7 +326,7 @@
   const HostedJobStep& step_spec = spec.steps_[step];
   TaskRecord& task = job->steps_[step][index];
   std::string name;
-  Owner* owner = SelectOwner(spec, step, task, *placement, &name);
+  Owner* owner = SelectOwner(spec, step, task, *placement, now, &name);
   if (owner == nullptr) return;
   PoolLoad* load = FindPool(&owner->load_, spec.pool_);
   Resources* free = FindBestFit(&load->free_, step_spec.need_);
--- a/src/leased_worker.h
+++ b/src/leased_worker.h
@@ -140,7 +140,7 @@
   kDone,
   kFailed,     ///< The run ended with a fault of the task or the worker.
   kLost,       ///< Run cut short: worker lost, lease expired or run stalled.
-  kExpired,    ///< Not started in time, or the queue was full.
+  kExpired,    ///< Not started in time.
   kUnknown,    ///< Worker out of reach; the task may run until its lease ends.
   kCancelled,  ///< Cancelled; if it was running, the run is being stopped.
   /// Not accepted: the owner is leaving or has no such worker. Also a waiting
@@ -152,6 +152,9 @@
   /// Given up as well: too many workers were lost while it ran there, but it
   /// isn't known to have crashed them.
   kLostTooOften,
+  /// Not accepted: as many tasks wait there as an owner takes. It may be
+  /// assigned again once there is room.
+  kNoRoom,
 };
 
 /// Stable name for logs, such as `refused`.
@@ -175,6 +178,8 @@
       return "crashes";
     case TaskEnd::kLostTooOften:
       return "lost-too-often";
+    case TaskEnd::kNoRoom:
+      return "no-room";
   }
   return "unknown";
 }
--- a/src/mesh_wire.cc
+++ b/src/mesh_wire.cc
@@ -49,7 +49,7 @@
   auto end = static_cast<uint8_t>(ended.end_);
   archive.Value(end);
   if constexpr (Archive::kReads) {
-    if (end > static_cast<uint8_t>(TaskEnd::kLostTooOften)) archive.Fail();
+    if (end > static_cast<uint8_t>(TaskEnd::kNoRoom)) archive.Fail();
     ended.end_ = static_cast<TaskEnd>(end);
   }
   Serialize(archive, ended.started_);
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -362,9 +362,8 @@
       continue;
     }
     if (backlog_.tasks() >= kMaxWaitingTasks) {
-      // A refused task would be assigned here again at once.
-      ++stats_.expired_;
-      Report(task, TaskEnd::kExpired, out);
+      ++stats_.without_room_;
+      Report(task, TaskEnd::kNoRoom, out);
       continue;
     }
     Enqueue(std::move(task), now);
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -120,6 +120,7 @@
   uint64_t leases_expired_ = 0;
   uint64_t stalled_ = 0;
   uint64_t expired_ = 0;
+  uint64_t without_room_ = 0;     ///< Tasks not accepted: too many waited.
   uint64_t batches_refused_ = 0;  ///< On their arrival.
   uint64_t batches_shed_ = 0;     ///< After they had waited.
   uint64_t cancelled_ = 0;
--- a/src/worker_scheduler_explain.cc
+++ b/src/worker_scheduler_explain.cc
@@ -112,8 +112,8 @@
       }
     } else if (const auto* report = std::get_if<ReportTask>(&command)) {
       if (report->ended_.serial_.value_ < kFirstSerial) continue;
-      refuse(report->ended_.end_ == TaskEnd::kExpired ? "queue-full"
-                                                      : "no-workers");
+      refuse(report->ended_.end_ == TaskEnd::kNoRoom ? "queue-full"
+                                                     : "no-workers");
     }
   }
   scratch.ExplainReservations(batch, now, &explanation);
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -393,6 +393,7 @@
   }
   void Do(size_t /*index*/, const TaskReassigned& /*task*/) {}
   void Do(size_t /*index*/, const BatchReassigned& /*batch*/) {}
+  void Do(size_t /*index*/, const JobAwaitsRoom& /*job*/) {}
   void Do(size_t /*index*/, const JobRejoined& /*job*/) {}
   /// Sends over the link between two instances, in order.
   void ToOwner(size_t from, size_t to,
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -152,6 +152,85 @@
   BOOST_TEST((Answer() == HostedJobOutcome::kFailed));
 }
 
+// Guards against a full owner that gets a task again and again.
+BOOST_AUTO_TEST_CASE(ATaskWithoutRoomWaitsAndIsNotAssignedAtOnce) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const SendAssign first = All<SendAssign>()[0];
+  End(first, 0, TaskEnd::kDone);
+  End(first, 1, TaskEnd::kNoRoom, /*started=*/false);
+  now_ = now_ + Duration{20};
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST(All<SendAssign>().size() == 1U);
+  BOOST_TEST(All<JobAwaitsRoom>().size() == 1U);
+  // New jobs are refused at once meanwhile.
+  Submit(Job("b", 1));
+  BOOST_TEST((Answer() == HostedJobOutcome::kNotRun));
+  BOOST_TEST(All<AnswerHostedJob>()[0].reason_ == "overloaded");
+  now_ = now_ + Duration{100};
+  coordinator_.Tick(now_, &out_);
+  BOOST_REQUIRE(All<SendAssign>().size() == 2U);
+  End(All<SendAssign>()[1], 0, TaskEnd::kDone);
+  BOOST_TEST(
+      (All<AnswerHostedJob>()[1].outcome_ == HostedJobOutcome::kComplete));
+}
+
+BOOST_AUTO_TEST_CASE(ATaskWithoutRoomGoesToAnotherOwnerAtTheNextTick) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const SendAssign first = All<SendAssign>()[0];
+  coordinator_.OwnerLoadReported({"other"}, "west", Load({{32000, 1000, 0}}));
+  End(first, 0, TaskEnd::kDone);
+  End(first, 1, TaskEnd::kNoRoom, /*started=*/false);
+  coordinator_.Tick(now_, &out_);
+  BOOST_REQUIRE(All<SendAssign>().size() == 2U);
+  BOOST_TEST(All<SendAssign>()[1].owner_.value_ == "other");
+}
+
+// Guards against a caller that waits until its deadline for a task that comes
+// too late, and against a "not run" of a job that has started.
+BOOST_AUTO_TEST_CASE(AJobWithoutRoomIsAnsweredOnceItComesTooLate) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const SendAssign first = All<SendAssign>()[0];
+  End(first, 0, TaskEnd::kDone);
+  for (int i = 0; i < 10 && All<AnswerHostedJob>().empty(); ++i) {
+    End(All<SendAssign>().back(), i == 0 ? 1 : 0, TaskEnd::kNoRoom,
+        /*started=*/false);
+    now_ = now_ + Duration{100};
+    coordinator_.Tick(now_, &out_);
+  }
+  BOOST_TEST((Answer() == HostedJobOutcome::kTimedOut));
+  BOOST_TEST(coordinator_.idle());
+  // Useful within 1,140 ms, of which the task takes 200.
+  BOOST_TEST((now_ - Time{1000}).ms_ == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(AJobThatHasNotStartedIsRefusedIfThereIsNoRoom) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1));
+  End(All<SendAssign>()[0], 0, TaskEnd::kNoRoom, /*started=*/false);
+  BOOST_TEST((Answer() == HostedJobOutcome::kNotRun));
+  BOOST_TEST(All<AnswerHostedJob>()[0].reason_ == "overloaded");
+}
+
+// Guards against an owner and its coordinator in one process that pass a task
+// to and fro without an end, while the load report that says why is due.
+BOOST_AUTO_TEST_CASE(ATaskReturnedTwiceByOneReportWaitsForTheNextTick) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1));
+  for (size_t i = 0; i < 2; ++i) {
+    BOOST_REQUIRE(All<SendAssign>().size() == i + 1);
+    End(All<SendAssign>()[i], 0, TaskEnd::kRefused, /*started=*/false);
+  }
+  BOOST_TEST(All<SendAssign>().size() == 2U);
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST(All<SendAssign>().size() == 3U);
+  End(All<SendAssign>()[2], 0, TaskEnd::kDone);
+  BOOST_TEST((Answer() == HostedJobOutcome::kComplete));
+}
+
 BOOST_AUTO_TEST_CASE(CancelsTasksWhenTheCallerDisconnects) {
   coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
   const RequestId request = Submit(Job("a", 2));
