--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -435,20 +435,21 @@
                         LongNamesFixture) {
   constexpr int kOutlastsTheDrainMs = 2800;
   constexpr int64_t kInTimeMs = 8000;
-  constexpr int kJobs = 16;  // more than the other instance's workers hold
+  constexpr size_t kJobs = 16;  // more than the other instance's workers hold
   Report("PUT", "?store_answer_ms=30");
   for (HostedInstanceProcess* stopped : {&a_, &b_}) {
     const HostedInstanceProcess& other = stopped == &a_ ? b_ : a_;
-    std::vector<size_t> jobs;
-    for (int i = 0; i < kJobs; ++i) {
-      jobs.push_back(caller_.Send(
-          other.callers(), Job(1, kOutlastsTheDrainMs, kInTimeMs), kPatience));
+    std::vector<size_t> jobs(kJobs);
+    for (size_t& job : jobs) {
+      job = caller_.Send(other.callers(),
+                         Job(1, kOutlastsTheDrainMs, kInTimeMs), kPatience);
     }
     Wait(Duration{200});
     stopped->process().Signal(SIGTERM);
     BOOST_TEST(caller_.WaitAll());
-    for (const size_t job : jobs)
+    for (const size_t job : jobs) {
       BOOST_TEST(caller_.Answer(job).status_ == 200);
+    }
     BOOST_TEST(stopped->process().WaitExit() == 0);
     stopped->Restart();
     BOOST_REQUIRE(WaitUntil([&] { return Serves(*stopped); }));
