End the wait for room of a job that is given up

A job could be given up ("moved-often") while a task of it waited for room and others were being cancelled; the next tick assigned the waiting task again, a start for a job about to be answered as over.

--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -336,11 +336,11 @@
 void JobCoordinator::PlaceAwaitingRoom(Time now, CoordinatorOutbox* out) {
   const uint64_t limit = stats_.tasks_assigned_ + kMaxAwaitingPerTick;
   std::map<std::string, bool> full_pools;
+  // Placing or ending a job changes its own entry.
   for (const auto& [band, id] :
        std::vector(await_room_.begin(), await_room_.end())) {
     const Job& job = jobs_.at(id);
     if (now >= UsefulUntil(job)) {
-      await_room_.erase({band, id});
       Abandon(id, "too-late", now, out);
       continue;
     }
@@ -395,6 +395,7 @@
   if (!job.abandoned_) {
     job.abandoned_ = true;
     job.reason_ = reason;
+    await_room_.erase({job.spec_->band_, id});
     CancelAssigned(&job, now, out);
   }
   FinishIfNoneAssigned(id, out);
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -206,6 +206,25 @@
   BOOST_TEST((now_ - Time{1000}).ms_ == 1000);
 }
 
+// Guards against starts for a job that is being given up, and whose tasks have
+// been cancelled elsewhere.
+BOOST_AUTO_TEST_CASE(AnAbandonedJobNoLongerAwaitsRoom) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 3));
+  const SendAssign first = All<SendAssign>()[0];
+  End(first, 0, TaskEnd::kLost);
+  for (int i = 0; i < 3; ++i) End(All<SendAssign>().back(), 0, TaskEnd::kLost);
+  End(first, 1, TaskEnd::kNoRoom, /*started=*/false);
+  const size_t assigned = All<SendAssign>().size();
+  End(All<SendAssign>().back(), 0, TaskEnd::kLost);
+  BOOST_TEST(All<SendCancel>().size() == 1U);
+  now_ = now_ + Duration{100};
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST(All<SendAssign>().size() == assigned);
+  End(first, 2, TaskEnd::kCancelled);
+  BOOST_TEST((Answer() == HostedJobOutcome::kTimedOut));
+}
+
 BOOST_AUTO_TEST_CASE(AJobThatHasNotStartedIsRefusedIfThereIsNoRoom) {
   coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
   Submit(Job("a", 1));
