--- a/tests/process/hosted_test.cc
+++ b/tests/process/hosted_test.cc
@@ -1,11 +1,13 @@
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fstream>
 #include <optional>
 
 #include "hosted_process.h"
@@ -459,6 +461,22 @@
   CheckRules();
 }
 
+// Guards against a process that is ended by a SIGTERM during its start: the
+// platform takes that for a crash.
+BOOST_AUTO_TEST_CASE(AStopDuringTheStartEndsWell) {
+  a_.process().Signal(SIGTERM);
+  BOOST_TEST(a_.process().WaitExit() == 0);
+  const std::string settings = folder_.Path("settings");
+  BOOST_REQUIRE(mkfifo(settings.c_str(), S_IRUSR | S_IWUSR) == 0);
+  Process starting("gentiandeal", {"hosted", "--settings", settings});
+  // Opens as soon as the process reads its settings.
+  std::ofstream pipe(settings);
+  starting.Signal(SIGTERM);
+  pipe << ReadFile(folder_.Path("a.json"));
+  pipe.close();
+  BOOST_TEST(starting.WaitExit() == 0);
+}
+
 // The platform kills what has not ended 6 s after SIGTERM.
 BOOST_AUTO_TEST_CASE(ADrainedInstanceEndsInTimeThoughTheStoreIsSilent) {
   Report("PUT", "?store_silent=1");
--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -502,6 +502,10 @@
   }
 
   void StopInstances() {
+    // A signal before `main` begins ends any process.
+    for (const Instance& one : instances_) {
+      WaitUntil([&] { return one.process_->Ready(); });
+    }
     for (Instance& one : instances_) one.process_->process().Signal(SIGTERM);
     for (int i = 0; i < extent_.instances_; ++i) {
       if (At(i).process_->process().WaitExit() < 0) {
