Decide on the instance's record without I/O

LeasedRecord is in src/ now: it takes answers and the time and appends commands to an outbox, so that a simulated world can play it.

Kept from the code before the split, now with a test: a removal that the watch tells while a write is under way is made up for (leased_record/ARemovalHeardDuringAWriteIsMadeUpFor).

--- a/tests/unit/leased_record_test.cc
+++ b/tests/unit/leased_record_test.cc
@@ -1,9 +1,8 @@
-#include "leased_record.h"
-
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
 #include "base64.h"
+#include "record_client.h"
 #include "store_client.h"
 #include "unit/store_calls.h"
 
@@ -30,7 +29,7 @@
   std::vector<uint64_t> stored_;
   int done_ = 0;
   MonotonicClock clock_;
-  LeasedRecord record_{kKey, kLease, call(), [this](Fence fence) {
+  RecordClient record_{kKey, kLease, call(), [this](Fence fence) {
                          stored_.push_back(fence.value_);
                        }};
 
@@ -182,6 +181,19 @@
   BOOST_TEST(stored_ == std::vector<uint64_t>{12});
 }
 
+// Guards against a record that stays away: the key was removed after the write,
+// but the watch tells it before the write is answered.
+BOOST_AUTO_TEST_CASE(ARemovalHeardDuringAWriteIsMadeUpFor) {
+  PublishUntilWrite("value");
+  record_.OnRemoved();
+  Answer("/-/kv-txn", 200, R"({"rev":11})");
+  TickFor(Duration{500});
+  Answer("/-/kv-txn", 412, "{}");
+  Answer("/-/kv-key", 404, "{}");
+  BOOST_REQUIRE(Awaits("/-/kv-txn"));
+  BOOST_TEST(calls_.back().body_.find("\"rev\":0") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ALapsedLeaseIsReplacedAndTheValueWrittenAgain) {
   PublishWhole("value");
   record_.Tick(clock_.Now() + kLease);
