Refuse more seeds than can be used

Instances and workers that the platform lists beyond kMaxPeers and kMaxWorkers are logged, but seeds of the boot file beyond them were left out without a word, and seeds that aren't listed took places of listed instances uncounted.

--- a/src/boot_settings.cc
+++ b/src/boot_settings.cc
@@ -66,6 +66,15 @@
   return {};
 }
 
+/// Refuses more seeds than can be used: the rest would be left out silently.
+std::string ReadSeeds(const std::string& value, size_t most,
+                      std::vector<Address>* out) {
+  std::string message = ReadAddresses(value, out);
+  if (!message.empty() || out->size() <= most) return message;
+  return "makes " + std::to_string(out->size()) + " addresses, of which " +
+         std::to_string(most) + " can be used: remove some";
+}
+
 std::string ReadDuration(const std::string& value, Range range, Duration* out) {
   std::string message;
   const auto ms = ParseValue(value, ValueType::kDuration, range, &message);
@@ -137,11 +146,11 @@
      }},
     {"seeds", "workers", true,
      [](const std::string& value, Init* init) {
-       return ReadAddresses(value, &init->seed_workers_);
+       return ReadSeeds(value, config::kMaxWorkers, &init->seed_workers_);
      }},
     {"seeds", "peers", true,
      [](const std::string& value, Init* init) {
-       return ReadAddresses(value, &init->seed_peers_);
+       return ReadSeeds(value, config::kMaxPeers, &init->seed_peers_);
      }},
     {"drain", "linger", false,
      [](const std::string& value, Init* init) {
--- a/src/cluster.cc
+++ b/src/cluster.cc
@@ -3,6 +3,8 @@
 #include <event2/event.h>
 #include <spdlog/spdlog.h>
 
+#include <set>
+
 #include "consul_platform.h"
 #include "list_limit.h"
 #include "peer_link.h"
@@ -188,7 +190,7 @@
         peers.push_back(
             {service.peer_address_, service.data_centre_, service.leaving_});
       }
-      LogLimit("instances", peers.size(), &instance_limit_);
+      LogLimit("instances", CountWithSeeds(peers), &instance_limit_);
       membership_->SetListedPeers(peers, now);
     }
     SyncOutbox out;
@@ -196,6 +198,14 @@
     ExecuteCommands(&out);
   }
 
+  /// Seeds that aren't listed take places of listed instances.
+  size_t CountWithSeeds(const std::vector<PeerInfo>& listed) const {
+    std::set<Address> addresses(init_.seed_peers_.begin(),
+                                init_.seed_peers_.end());
+    for (const PeerInfo& peer : listed) addresses.insert(peer.address_);
+    return addresses.size();
+  }
+
   void PassPeersToSync(Time now, SyncOutbox* out) {
     sync_.OnPeersKnown(membership_->addresses(), now, out);
   }
@@ -228,11 +238,12 @@
         return;
       case ListLimit::Change::kExceeded:
         return spdlog::error(
-            "platform: lists {} {}, of which {} are used: split the data "
-            "centre, or use `gentiandeal hosted`",
+            "platform: {} {} with the seeds, of which {} are used: split the "
+            "data centre, or use `gentiandeal hosted`",
             listed, what, limit->limit());
       case ListLimit::Change::kKeptAgain:
-        spdlog::info("platform: lists {} {}, all are used again", listed, what);
+        spdlog::info("platform: {} {} with the seeds, all are used again",
+                     listed, what);
     }
   }
 
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -178,6 +178,26 @@
   BOOST_TEST((init.callers_ == before));
 }
 
+// Guards against seeds that are left out without a word.
+BOOST_AUTO_TEST_CASE(MoreSeedsThanCanBeUsedAreAnError) {
+  const auto count_errors = [](const std::string& key, size_t seeds) {
+    std::string text =
+        "[instance]\ndata_centre = rennes\nregion = bretagne\n"
+        "callers = 127.0.0.1:8080\npeers = 127.0.0.1:8081\n[seeds]\n";
+    for (size_t i = 1; i <= seeds; ++i) {
+      text += key + " = 127.0.0.1:" + std::to_string(i) + "\n";
+    }
+    Init init;
+    Diagnostics diagnostics;
+    ParseBootSettings("b.ini", text, &init, &diagnostics);
+    return diagnostics.size();
+  };
+  BOOST_TEST(count_errors("workers", config::kMaxWorkers) == 0U);
+  BOOST_TEST(count_errors("workers", config::kMaxWorkers + 1) == 1U);
+  BOOST_TEST(count_errors("peers", config::kMaxPeers) == 0U);
+  BOOST_TEST(count_errors("peers", config::kMaxPeers + 1) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ExamplesAreValidWithLimitsAndEjectionOff) {
   const auto examples =
       std::filesystem::path(__FILE__).parent_path() / "../../examples";
