--- a/src/common.cc
+++ b/src/common.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <ctime>
+#include <random>
 
 #include "gentiandeal_p.h"
 
@@ -187,6 +188,17 @@
   return {};
 }
 
+uint64_t RandomUint64() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+Incarnation NewIncarnation() {
+  Incarnation incarnation;
+  while (!incarnation.valid()) incarnation.value_ = RandomUint64();
+  return incarnation;
+}
+
 Caps GetCaps() {
   return {config::kMaxTasksPerJob, config::kMaxWorkers, config::kMaxTeams,
           config::kMaxJobs, static_cast<uint32_t>(config::kMaxBodyBytes)};
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -36,17 +36,6 @@
   return base;
 }
 
-uint64_t RandomUint64() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32) | device();
-}
-
-Incarnation NewIncarnation() {
-  Incarnation incarnation;
-  while (!incarnation.valid()) incarnation.value_ = RandomUint64();
-  return incarnation;
-}
-
 std::array<uint8_t, 32> NewSecret() {
   std::random_device device;
   std::array<uint8_t, 32> secret;
--- a/src/gentiandeal_p.h
+++ b/src/gentiandeal_p.h
@@ -58,6 +58,8 @@
 using ForwardId = Id<struct ForwardTag, uint64_t, 0>;
 /// Random number that identifies one run of one entry instance.
 using Incarnation = Id<struct IncarnationTag, uint64_t, 0>;
+Incarnation NewIncarnation();
+uint64_t RandomUint64();
 /// Revision of the settings document. It only increases.
 using Revision = Id<struct RevisionTag, uint64_t, 0>;
 
--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -5,8 +5,6 @@
 #include <signal.h>
 #include <spdlog/spdlog.h>
 
-#include <random>
-
 #include "buffered_log.h"
 #include "evacuation.h"
 #include "event_base.h"
@@ -108,12 +106,6 @@
 
   static constexpr Duration kLogFlushInterval{100};
 
-  static Incarnation NewIncarnation() {
-    std::random_device device;
-    const uint64_t word = (static_cast<uint64_t>(device()) << 32) | device();
-    return {word | 1};
-  }
-
   InstanceRecord MakeRecord() const {
     InstanceRecord record;
     record.name_ = init_.name_;
