--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -14,13 +14,13 @@
 #include "evacuations.h"
 #include "fault_plan.h"
 #include "process/hosted_process.h"
+#include "soak_record.h"
 
 /// Runs instances, workers and callers as processes, injects seeded faults
 /// from outside, and judges by what the stand-in workers and the callers saw.
 namespace gentiandeal::soak {
 namespace {
 
-using Json = nlohmann::json;
 using process::Caller;
 using process::Folder;
 using process::HostedInstanceProcess;
@@ -50,22 +50,6 @@
   std::string logs_ = "hosted_soak_logs";
 };
 
-/// One sending of a job.
-struct Attempt {
-  size_t index_ = 0;
-  int instance_ = 0;
-  Time sent_;
-  Time ended_;
-  int status_ = -1;  ///< 0: the connection was lost; -1: none yet.
-};
-
-struct Job {
-  std::string id_;
-  HttpRequest request_;
-  std::vector<Attempt> attempts_;
-  std::optional<Time> send_again_at_;
-};
-
 std::string InstanceName(int index) { return {static_cast<char>('a' + index)}; }
 
 /// As long as the key of an instance's record may be.
@@ -573,50 +557,6 @@
     return broken;
   }
 
-  static std::string JobOf(const Json& run) {
-    const auto task = run["task"].get<std::string>();
-    return task.substr(0, task.find('.'));
-  }
-
-  /// A refusal says that nothing of the attempt runs. Runs that a lost attempt
-  /// before it started aren't held against it.
-  static bool RanThoughRefused(const Job& job, const std::vector<Json>& runs) {
-    const Attempt& last = job.attempts_.back();
-    if (last.status_ != 429 && last.status_ != 503) return false;
-    return std::any_of(runs.begin(), runs.end(), [&](const Json& run) {
-      return Time{run["began"].get<int64_t>()} >= last.sent_;
-    });
-  }
-
-  /// Wall-clock time, as in the instances' logs.
-  std::string Clock(Time time) const {
-    if (time == Time{}) return "-";
-    timespec wall{};
-    clock_gettime(CLOCK_REALTIME, &wall);
-    const int64_t ms =
-        wall.tv_sec * 1000 + wall.tv_nsec / 1000000 - (clock_.Now() - time).ms_;
-    const time_t seconds = ms / 1000;
-    tm parts{};
-    localtime_r(&seconds, &parts);
-    char text[32];
-    const size_t size = strftime(text, sizeof(text), "%H:%M:%S", &parts);
-    std::snprintf(text + size, sizeof(text) - size, ".%03d",
-                  static_cast<int>(ms % 1000));
-    return text;
-  }
-
-  std::string Text(const Json& run) const {
-    const auto time = [&](const char* key) {
-      return Clock(Time{run[key].get<int64_t>()});
-    };
-    const std::string how = run["how"].get<std::string>();
-    return " run " + run["run"].dump() + " on " +
-           run["worker"].get<std::string>() + " from " +
-           run["instance"].get<std::string>() + ", start " + time("began") +
-           ", stop " + time("stop") + ", end " + time("ended") + " " +
-           (how.empty() ? "in progress" : how);
-  }
-
   void PrintJob(const std::string& id, const std::vector<Json>& runs) const {
     std::cout << "job " << id << "\n";
     const auto found = jobs_.find(id);
