--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -20,8 +20,8 @@
 /// An owner that was full gets no tasks for this long. Load reports come about
 /// that often.
 constexpr Duration kFullOwnerMemory{100};
-/// Tasks that had to wait for room and are assigned in one tick, about: a full
-/// owner returns them all.
+/// About as many tasks that wait for room are assigned in one tick: an owner
+/// that is still full returns them all.
 constexpr uint64_t kMaxAwaitingPerTick = config::kMaxTasksPerJob;
 /// Reason of a job that failed since a task of it crashes workers.
 constexpr std::string_view kCrashesWorkers = "crashes-workers";
@@ -327,7 +327,7 @@
 void JobCoordinator::AwaitRoom(uint64_t id, const InstanceName& owner,
                                TaskEnd end, CoordinatorOutbox* out) {
   Job& job = jobs_[id];
-  await_room_.insert({job.spec_->band_, id});
+  awaiting_room_.insert({job.spec_->band_, id});
   if (std::exchange(job.awaited_room_, true)) return;
   ++stats_.awaited_room_;
   out->push_back(JobAwaitsRoom{job.spec_->id_, owner, end});
@@ -338,7 +338,7 @@
   std::map<std::string, bool> full_pools;
   // Placing or ending a job changes its own entry.
   for (const auto& [band, id] :
-       std::vector(await_room_.begin(), await_room_.end())) {
+       std::vector(awaiting_room_.begin(), awaiting_room_.end())) {
     const Job& job = jobs_.at(id);
     if (now >= UsefulUntil(job)) {
       Abandon(id, "too-late", now, out);
@@ -395,7 +395,7 @@
   if (!job.abandoned_) {
     job.abandoned_ = true;
     job.reason_ = reason;
-    await_room_.erase({job.spec_->band_, id});
+    awaiting_room_.erase({job.spec_->band_, id});
     CancelAssigned(&job, now, out);
   }
   FinishIfNoneAssigned(id, out);
@@ -446,7 +446,7 @@
   }
   jobs_by_request_.erase(job.request_.value_);
   jobs_by_id_.erase(job.spec_->id_);
-  await_room_.erase({job.spec_->band_, id});
+  awaiting_room_.erase({job.spec_->band_, id});
   jobs_.erase(found);
 }
 
@@ -550,7 +550,7 @@
     CancelAssigned(&jobs_[id], now, out);
     Finish(id, HostedJobOutcome::kTimedOut, "deadline", out);
   }
-  if (!await_room_.empty()) PlaceAwaitingRoom(now, out);
+  if (!awaiting_room_.empty()) PlaceAwaitingRoom(now, out);
 }
 
 void JobCoordinator::Resume(Time now, CoordinatorOutbox* out) {
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -273,8 +273,8 @@
   struct Owner {
     std::string data_centre_;
     OwnerLoad load_;
-    uint64_t report_ = 0;  ///< Counts the load reports of all owners.
-    Time full_until_;      ///< It has returned a task for lack of room.
+    uint64_t report_ = 0;  ///< Number of the load report, over all owners.
+    Time full_until_;      ///< After it has returned a task for lack of room.
     /// By band: the last batch that it refused.
     std::array<RefusedBatch, kPriorityBands> refused_{};
   };
@@ -405,9 +405,9 @@
   std::map<uint64_t, Job> jobs_;
   std::unordered_map<uint64_t, uint64_t> jobs_by_request_;
   std::unordered_map<std::string, uint64_t> jobs_by_id_;
-  std::unordered_map<uint64_t, TaskRef> tasks_;          // by serial
-  std::set<std::pair<uint8_t, uint64_t>> await_room_;    // band and job
-  std::map<std::string, OpenElsewhere> open_elsewhere_;  // by instance
+  std::unordered_map<uint64_t, TaskRef> tasks_;           // by serial
+  std::set<std::pair<uint8_t, uint64_t>> awaiting_room_;  // band and job
+  std::map<std::string, OpenElsewhere> open_elsewhere_;   // by instance
   /// Jobs that were given up and may still have runs, until the given time.
   std::unordered_map<std::string, Time> ending_;
   TaskLossLedger losses_;
--- a/src/job_coordinator_placement.cc
+++ b/src/job_coordinator_placement.cc
@@ -281,7 +281,7 @@
 
 void JobCoordinator::PlaceReady(uint64_t id, Time now, CoordinatorOutbox* out) {
   Job& job = jobs_[id];
-  await_room_.erase({job.spec_->band_, id});
+  awaiting_room_.erase({job.spec_->band_, id});
   Placement placement;
   bool any_left = false;
   for (uint32_t step = 0; step < job.steps_.size(); ++step) {
@@ -314,7 +314,7 @@
     out->push_back(SendAssign{{owner_and_step.first}, std::move(assign)});
   }
   if (any_left && HasFullOwner(job.spec_->pool_, now)) {
-    await_room_.insert({job.spec_->band_, id});
+    awaiting_room_.insert({job.spec_->band_, id});
   } else if (job.assigned_ == 0) {
     Abandon(id, "no-workers", now, out);
   }
--- a/src/leased_record.cc
+++ b/src/leased_record.cc
@@ -110,11 +110,11 @@
   if (!lease_.valid()) {
     out->push_back(RecordWithdrawn{});
   } else {
-    out->push_back(EndLease{lease_});
+    out->push_back(ReleaseLease{lease_});
   }
 }
 
-void LeasedRecord::On(const LeaseEndEnded& /*ended*/, LeasedRecordOutbox* out) {
+void LeasedRecord::On(const ReleaseEnded& /*ended*/, LeasedRecordOutbox* out) {
   out->push_back(RecordWithdrawn{});
 }
 
--- a/src/leased_record.h
+++ b/src/leased_record.h
@@ -26,7 +26,7 @@
   Duration time_;
 };
 /// Ends a lease, which removes its key.
-struct EndLease {
+struct ReleaseLease {
   LeaseId lease_;
 };
 /// Writes the key if its revision is the expected one.
@@ -45,8 +45,8 @@
 struct RecordWithdrawn {};
 
 using LeasedRecordCommand =
-    std::variant<RequestLease, RenewLease, EndLease, WriteRecord, ReadRecord,
-                 RecordStored, RecordWithdrawn>;
+    std::variant<RequestLease, RenewLease, ReleaseLease, WriteRecord,
+                 ReadRecord, RecordStored, RecordWithdrawn>;
 using LeasedRecordOutbox = std::vector<LeasedRecordCommand>;
 
 /// How a call to the store ended.
@@ -72,7 +72,7 @@
   KeyRevision revision_;
   LeaseId lease_;
 };
-struct LeaseEndEnded {};
+struct ReleaseEnded {};
 
 class LeasedRecord {
  public:
@@ -95,7 +95,7 @@
   void On(const RenewalEnded& ended, Time now, LeasedRecordOutbox* out);
   void On(const WriteEnded& ended, Time now, LeasedRecordOutbox* out);
   void On(const ReadEnded& ended, Time now, LeasedRecordOutbox* out);
-  void On(const LeaseEndEnded& ended, LeasedRecordOutbox* out);
+  void On(const ReleaseEnded& ended, LeasedRecordOutbox* out);
 
   /// A watch has read the key.
   void NoteListed(KeyRevision revision);
