Construct the commands of a record in place

The build with -Werror failed at src/leased_record.cc: GCC 12 warned of members that "may be used uninitialized" in the move of a temporary variant that push_back takes (std::variant of seven commands, inlined into LeasedRecord::On(ReadEnded)). The warning is wrong: only the alternative that is held is moved.

emplace_back constructs the alternative in the vector, so that no variant is moved there. No behaviour changes.

--- a/src/leased_record.cc
+++ b/src/leased_record.cc
@@ -24,13 +24,13 @@
   if (writing_ || !write_pending_) return;
   if (!lease_.valid()) {
     if (!std::exchange(leasing_, true)) {
-      out->push_back(RequestLease{lease_time_});
+      out->emplace_back(RequestLease{lease_time_});
     }
     return;
   }
   writing_ = value_;
   write_pending_ = false;
-  out->push_back(WriteRecord{value_, revision_, lease_});
+  out->emplace_back(WriteRecord{value_, revision_, lease_});
 }
 
 void LeasedRecord::On(const WriteEnded& ended, Time now,
@@ -44,7 +44,7 @@
       writing_.reset();
       revision_ = ended.revision_;
       if (!newest) return Write(out);
-      out->push_back(RecordStored{revision_});
+      out->emplace_back(RecordStored{revision_});
       return;
     case StoreResult::kNotFound:
       writing_.reset();
@@ -54,7 +54,7 @@
     case StoreResult::kFailed:
       // The write may have succeeded although the call failed.
       next_write_ = now + kRetryDelay;
-      out->push_back(ReadRecord{});
+      out->emplace_back(ReadRecord{});
       return;
   }
 }
@@ -77,7 +77,7 @@
         return Write(out);
       }
       write_pending_ = false;
-      out->push_back(RecordStored{revision_});
+      out->emplace_back(RecordStored{revision_});
       return;
   }
 }
@@ -108,14 +108,14 @@
 void LeasedRecord::Withdraw(LeasedRecordOutbox* out) {
   if (std::exchange(withdrawn_, true)) return;
   if (!lease_.valid()) {
-    out->push_back(RecordWithdrawn{});
+    out->emplace_back(RecordWithdrawn{});
   } else {
-    out->push_back(ReleaseLease{lease_});
+    out->emplace_back(ReleaseLease{lease_});
   }
 }
 
 void LeasedRecord::On(const ReleaseEnded& /*ended*/, LeasedRecordOutbox* out) {
-  out->push_back(RecordWithdrawn{});
+  out->emplace_back(RecordWithdrawn{});
 }
 
 void LeasedRecord::Tick(Time now, LeasedRecordOutbox* out) {
@@ -124,7 +124,7 @@
   if (!lease_.valid() || leasing_ || now < next_renewal_) return;
   leasing_ = true;
   next_renewal_ = now + Duration{lease_time_.ms_ / kRenewalsPerLease};
-  out->push_back(RenewLease{lease_, lease_time_});
+  out->emplace_back(RenewLease{lease_, lease_time_});
 }
 
 void LeasedRecord::NoteListed(KeyRevision revision) {
