Play full queues and late answers of the store in the random schedule

`wide`: bursts of 20 to 60 jobs of 1 + 200 to 259 tasks at one instance. New rule bounded-pass: one pass of an instance takes a few commands for each open task. `answers`: records are kept by LeasedRecord, the code of the product, against a store with leases and revisions whose calls are carried out and answered late or lose their answers. New rule withdrawn: no call for a record once its withdrawal has begun, and none is stored again after it.

--- a/tests/schedule/hosted_schedule.cc
+++ b/tests/schedule/hosted_schedule.cc
@@ -63,6 +63,10 @@
       return "crashes";
     case HostedRule::kFailedIsTrue:
       return "failed-is-true";
+    case HostedRule::kBoundedPass:
+      return "bounded-pass";
+    case HostedRule::kWithdrawn:
+      return "withdrawn";
   }
   return "unknown";
 }
@@ -81,7 +85,9 @@
       {"deadly", &HostedTroubles::deadly_},
       {"shrinks", &HostedTroubles::shrinks_},
       {"priorities", &HostedTroubles::priorities_},
-      {"reservations", &HostedTroubles::reservations_}};
+      {"reservations", &HostedTroubles::reservations_},
+      {"wide", &HostedTroubles::wide_},
+      {"answers", &HostedTroubles::answers_}};
   std::istringstream stream(names);
   for (std::string name; std::getline(stream, name, ',');) {
     if (name == "all") {
@@ -153,7 +159,7 @@
       "troubles", po::value(&options.trouble_names_)->default_value("none"),
       "none, all, or some of "
       "holds,stalls,callers,requests,store,mutes,restarts,kept,deadly,"
-      "shrinks,priorities,reservations")(
+      "shrinks,priorities,reservations,wide,answers")(
       "seed", po::value(&options.first_seed_)->default_value(1), "first seed")(
       "seeds", po::value(&options.seeds_)->default_value(30), "their number")(
       "steps", po::value(&options.steps_)->default_value(2000))(
--- a/tests/unit/hosted_schedule_test.cc
+++ b/tests/unit/hosted_schedule_test.cc
@@ -11,6 +11,8 @@
 /// Enough for one that takes several faults at once.
 constexpr int kRareBrokenSteps = 4000;
 constexpr int kTroubledSteps = 2000;
+/// Until the first queue is full.
+constexpr int kFullQueueSteps = 200;
 
 namespace {
 
@@ -34,8 +36,9 @@
 }
 
 bool Breaks(HostedRule rule, uint64_t seed, HostedBreakage breakage,
-            const HostedTroubles& troubles, int steps) {
-  HostedWorld world(seed, breakage, troubles);
+            const HostedTroubles& troubles, int steps,
+            const HostedFleet& fleet = {}) {
+  HostedWorld world(seed, breakage, troubles, fleet);
   world.Run(steps);
   const auto& all = world.violations();
   return std::any_of(all.begin(), all.end(), [&](const HostedViolation& one) {
@@ -289,6 +292,55 @@
        4000);
 }
 
+// Guards against an instance that is busy with its commands for ever when the
+// queue of an owner is full, and against jobs that are forgotten while their
+// tasks wait for room.
+BOOST_AUTO_TEST_CASE(RulesHoldWhileQueuesAreFull) {
+  const HostedFleet fleet{.instances_ = 3, .workers_ = 8};
+  for (const uint64_t seed : {1, 4}) {
+    const HostedWorld::Seen seen =
+        Play(seed, {.wide_ = true}, kTroubledSteps, fleet);
+    BOOST_TEST(seen.without_room_ > 1000U);
+    BOOST_TEST(seen.awaited_room_ > 10U);
+    BOOST_TEST(seen.wide_complete_ > 10U);
+  }
+  Play(3,
+       {.holds_ = true,
+        .stalls_ = true,
+        .store_ = true,
+        .mutes_ = true,
+        .wide_ = true},
+       kTroubledSteps, fleet);
+}
+
+BOOST_AUTO_TEST_CASE(AFullQueueToldAsAnExpiryIsCaught) {
+  BOOST_TEST(Breaks(HostedRule::kBoundedPass, 1,
+                    HostedBreakage::kFullLooksExpired, {.wide_ = true},
+                    kFullQueueSteps, {.instances_ = 3, .workers_ = 8}));
+}
+
+// Guards against answers of the store that are taken for those of a record
+// that is still kept, after the instance has withdrawn it (issue 41).
+BOOST_AUTO_TEST_CASE(RulesHoldWhileAnswersOfTheStoreAreLate) {
+  for (const uint64_t seed : {1, 4}) {
+    const HostedWorld::Seen seen = Play(seed, {.answers_ = true});
+    BOOST_TEST(seen.withdrawn_ > 2U);
+    BOOST_TEST(seen.withdrawn_amid_calls_ > 1U);
+    BOOST_TEST(seen.complete_ > 50U);
+  }
+  Play(3, {.holds_ = true,
+           .stalls_ = true,
+           .store_ = true,
+           .mutes_ = true,
+           .answers_ = true});
+}
+
+BOOST_AUTO_TEST_CASE(ARecordThatOutlivesItsWithdrawalIsCaught) {
+  BOOST_TEST(BreaksInSomeSeed(HostedRule::kWithdrawn,
+                              HostedBreakage::kForgetWithdrawal,
+                              {.answers_ = true}));
+}
+
 // Guards against refusals that aren't true, and tasks that run twice, where
 // owners accept or refuse jobs of different priorities.
 BOOST_AUTO_TEST_CASE(RulesHoldWhileOwnersRefuseBatches) {
--- a/tests/unit/hosted_world.cc
+++ b/tests/unit/hosted_world.cc
@@ -8,10 +8,8 @@
 namespace gentiandeal {
 namespace {
 
-constexpr int64_t kPauseMs = 450;  // as `HostedInstance` takes it for one
-constexpr int64_t kStallMs = 60;   // as `HostedInstance` takes it for a stall
-constexpr int64_t kRecordLeaseMs = 2000;
-constexpr int64_t kRenewMs = 670;
+constexpr int64_t kPauseMs = 450;    // as `HostedInstance` takes it for one
+constexpr int64_t kStallMs = 60;     // as `HostedInstance` takes it for a stall
 constexpr int64_t kResendMs = 1300;  // of the callers
 constexpr int64_t kSettleMs = 25000;
 constexpr uint32_t kMaxAttempts = 3;
@@ -192,6 +190,9 @@
         });
     Worker* shrinks = busy == workers_.end() ? &worker : &*busy;
     if (shrinks->up_) Shrink(shrinks);
+  } else if (roll < 114) {
+    if (!troubles_.wide_) return;
+    SubmitWide(one, static_cast<uint32_t>(Between(20, 60)));
   }
 }
 
@@ -243,6 +244,12 @@
   instance.shared_version_ = instance.own_version_ = 0;
   instance.sessions_.clear();
   instance.unwritten_.reset();
+  instance.record_ = std::make_unique<LeasedRecord>(kRecordLease);
+  instance.record_out_.clear();
+  instance.withdrawing_ = false;
+  if (troubles_.answers_) {
+    instance.record_->Publish(ToJson(record), now_, &instance.record_out_);
+  }
   instance.seen_records_.clear();
   instance.seen_workers_.clear();
   instance.entries_read_ = 0;
@@ -362,7 +369,7 @@
       now_ - instance.last_tick_ > Duration{kStallMs} && !instance.catching_up_;
   instance.last_tick_ = now_;
   Sync(index);
-  Write(index);
+  KeepRecord(index);
   if (stalled) {
     instance.catching_up_ = true;
     instance.owner_->CatchUp();
@@ -389,6 +396,7 @@
                     instance.claims_->released() && !instance.unwritten_;
   const Duration age = now_ - instance.drained_since_;
   if ((over && age.ms_ > 2300) || age.ms_ > 5000) {
+    if (troubles_.answers_) return Withdraw(index);
     if (StoreReachable(index)) records_.erase(instance.name_.value_);
     Kill(index, /*silent=*/false);
   }
@@ -411,104 +419,6 @@
                                     instance.owner_->load(now_));
 }
 
-// --- The store ---
-
-bool HostedWorld::StoreReachable(size_t index) const {
-  return !store_down_ && !instances_[index].turned_away_;
-}
-
-void HostedWorld::TickStore() {
-  if (store_down_ && store_leases_pause_) {
-    for (auto& [name, stored] : records_) {
-      stored.until_ = stored.until_ + Duration{kTickMs};
-    }
-  }
-  std::erase_if(records_,
-                [&](const auto& entry) { return entry.second.until_ <= now_; });
-}
-
-void HostedWorld::Sync(size_t index) {
-  Instance& instance = instances_[index];
-  const bool reachable = StoreReachable(index);
-  instance.claims_->SetStoreUp(reachable);
-  if (!reachable || instance.watch_held_until_ > now_) {
-    instance.store_read_since_ = now_;
-  }
-  // Watches answer a little late.
-  if (!reachable || Roll(2) == 0 || instance.watch_held_until_ > now_) return;
-  for (const auto& [name, stored] : records_) {
-    if (instance.seen_records_[name] == stored.revision_) continue;
-    instance.seen_records_[name] = stored.revision_;
-    instance.claims_->InstanceListed(stored.record_);
-  }
-  for (auto seen = instance.seen_records_.begin();
-       seen != instance.seen_records_.end();) {
-    if (records_.count(seen->first) > 0) {
-      ++seen;
-      continue;
-    }
-    instance.claims_->InstanceUnlisted({seen->first});
-    seen = instance.seen_records_.erase(seen);
-  }
-  const auto read = [&](size_t worker,
-                        const std::optional<LeasedWorker>& entry) {
-    const WorkerId& id = workers_[worker].info_.id_;
-    if (!entry) {
-      if (instance.seen_workers_.erase(id.value_) > 0) {
-        instance.claims_->WorkerUnlisted(id, now_);
-      }
-      return;
-    }
-    const int64_t present = workers_[worker].info_.started_ms_;
-    if (entry->started_ms_ != present) ++seen_.late_entries_;
-    const auto seen = instance.seen_workers_.find(id.value_);
-    if (seen != instance.seen_workers_.end()) {
-      if (seen->second == *entry) return;
-      if (seen->second.started_ms_ > entry->started_ms_) ++seen_.stale_entries_;
-    }
-    Note("listed ", id.value_, " at ", instance.name_.value_, " started ",
-         entry->started_ms_);
-    instance.seen_workers_[id.value_] = *entry;
-    instance.claims_->WorkerListed(*entry, now_, &instance.claims_out_);
-  };
-  if (!instance.workers_read_) {
-    instance.workers_read_ = true;
-    for (size_t i = 0; i < workers_.size(); ++i) read(i, listed_[i]);
-    instance.entries_read_ = entries_.size();
-  }
-  for (; instance.entries_read_ < entries_.size(); ++instance.entries_read_) {
-    const EntryEvent& event = entries_[instance.entries_read_];
-    read(event.worker_, event.entry_);
-  }
-  std::map<std::string, std::vector<LeasedWorkerRef>> pools;
-  for (const auto& [id, worker] : instance.seen_workers_) {
-    pools[worker.pool_].push_back(std::make_shared<const LeasedWorker>(worker));
-  }
-  instance.desk_->SetWorkers(std::move(pools));
-}
-
-void HostedWorld::Write(size_t index) {
-  Instance& instance = instances_[index];
-  if (!StoreReachable(index)) return;
-  const auto stored = records_.find(instance.name_.value_);
-  const bool mine =
-      stored != records_.end() &&
-      stored->second.record_.incarnation_ == instance.incarnation_;
-  if (!mine && !instance.unwritten_) instance.unwritten_ = instance.written_;
-  if (mine && now_ >= instance.renew_at_) {
-    instance.renew_at_ = now_ + Duration{kRenewMs};
-    stored->second.until_ = now_ + Duration{kRecordLeaseMs};
-  }
-  if (!instance.unwritten_ || Roll(2) == 0) return;
-  StoredRecord& record = records_[instance.name_.value_];
-  record = {*instance.unwritten_, ++revision_, now_ + Duration{kRecordLeaseMs}};
-  if (Chance(10)) return;  // the answer is lost; it is written again
-  instance.written_ = *instance.unwritten_;
-  instance.unwritten_.reset();
-  const Fence fence{breakage_ == HostedBreakage::kSameFence ? 100 : revision_};
-  instance.claims_->RecordWritten(fence, &instance.claims_out_);
-}
-
 // --- Callers ---
 
 void HostedWorld::SubmitNew() {
@@ -551,8 +461,38 @@
   Submit(id);
 }
 
+void HostedWorld::SubmitWide(size_t index, uint32_t jobs) {
+  for (uint32_t i = 0; i < jobs; ++i) {
+    const std::string id = "job" + std::to_string(++last_job_);
+    CallerJob& job = jobs_[id];
+    job.wide_ = true;
+    HostedJob& spec = job.spec_;
+    spec.id_ = id;
+    spec.queue_ = "queue";
+    spec.pool_ = "main";
+    spec.payload_ = id;
+    spec.max_failures_ = 2;
+    spec.admitted_by_owners_ = troubles_.priorities_;
+    spec.objective_ = {2000};
+    spec.useful_within_ = {3 * spec.objective_.ms_};
+    spec.deadline_ = {6000};
+    HostedJobStep first;
+    first.count_ = 1;
+    first.need_ = {1000, 16, 0};
+    first.expected_ = {Between(40, 120)};
+    HostedJobStep second = first;
+    second.count_ = static_cast<uint32_t>(Between(200, 259));
+    second.depends_on_ = {0};
+    spec.steps_ = {first, second};
+    SubmitTo(index, id);
+  }
+}
+
 void HostedWorld::Submit(const std::string& id) {
-  const size_t index = Roll(instances_.size());
+  SubmitTo(Roll(instances_.size()), id);
+}
+
+void HostedWorld::SubmitTo(size_t index, const std::string& id) {
   Instance& instance = instances_[index];
   CallerJob& job = jobs_[id];
   if (!instance.up_) {
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "job_coordinator.h"
+#include "leased_record.h"
 #include "peer_liveness.h"
 #include "unit/event_queue.h"
 #include "worker_ownership.h"
@@ -37,6 +38,8 @@
   kAliveOnArrival,    ///< Links and owners date signs of life by arrivals.
   kForgetLosses,      ///< No instance tells others of crashes under tasks.
   kKeepCapacity,      ///< Owners aren't told of changes of resources.
+  kFullLooksExpired,  ///< A task without room is told as expired.
+  kForgetWithdrawal,  ///< A record isn't told that it is withdrawn.
 };
 
 /// What must hold, named as the users' rules do.
@@ -59,6 +62,12 @@
   /// A job is reported as failed only if a task of it failed as often as it
   /// may, or ran on two workers as they crashed.
   kFailedIsTrue,
+  /// An instance that carries out its commands comes to an end: a pass takes a
+  /// few commands for each task of the open jobs.
+  kBoundedPass,
+  /// Once an instance withdraws its record, it makes no more calls for it, and
+  /// the record doesn't come back.
+  kWithdrawn,
 };
 
 struct HostedViolation {
@@ -86,10 +95,16 @@
   /// Jobs differ in priority, and owners decide which they accept.
   bool priorities_ = false;
   bool reservations_ = false;  ///< Owners make them. With `priorities_` only.
+  /// Bursts of jobs of two steps, of up to 260 tasks in all, at one instance:
+  /// more than the queues of a few owners take.
+  bool wide_ = false;
+  /// Calls by which instances keep their records are carried out and answered
+  /// late, or their answers are lost, also after the withdrawal.
+  bool answers_ = false;
 
   bool any() const {
     return holds_ || stalls_ || callers_ || requests_ || store_ || mutes_ ||
-           restarts_ || deadly_ || shrinks_;
+           restarts_ || deadly_ || shrinks_ || wide_ || answers_;
   }
   static constexpr HostedTroubles All() {
     return {true, true, true, true, true, true, true};
@@ -153,12 +168,18 @@
     uint64_t crashes_by_tasks_ = 0;
     uint64_t failed_deadly_ = 0;  ///< Jobs whose tasks crash workers, failed.
     uint64_t shrunk_ = 0;
-    uint64_t shrunk_below_use_ = 0;  ///< Below what ran there.
+    uint64_t shrunk_below_use_ = 0;      ///< Below what ran there.
+    uint64_t wide_complete_ = 0;         ///< Wide jobs, complete.
+    uint64_t without_room_ = 0;          ///< Tasks that a full queue returned.
+    uint64_t awaited_room_ = 0;          ///< Jobs of such tasks.
+    uint64_t withdrawn_ = 0;             ///< Records of instances.
+    uint64_t withdrawn_amid_calls_ = 0;  ///< While a call was under way.
   };
   const Seen& seen() const { return seen_; }
 
  private:
   static constexpr int64_t kTickMs = 20;
+  static constexpr Duration kRecordLease{2000};
   /// Processors of a worker that hasn't shrunk.
   static constexpr int32_t kCpuMilli = 32000;
 
@@ -202,10 +223,13 @@
     std::unique_ptr<WorkerOwnership> claims_;
     std::unique_ptr<WorkerScheduler> owner_;
     std::unique_ptr<JobCoordinator> desk_;
+    std::unique_ptr<LeasedRecord> record_;
     OwnershipOutbox claims_out_;
     SchedulerOutbox owner_out_;
     CoordinatorOutbox desk_out_;
+    LeasedRecordOutbox record_out_;
     bool carrying_ = false;
+    bool withdrawing_ = false;
     uint64_t own_version_ = 0;  ///< Of the load that its coordinator knows.
     uint64_t shared_version_ = 0;
     std::set<uint64_t> sessions_;
@@ -231,6 +255,9 @@
     InstanceRecord record_;
     uint64_t revision_ = 0;
     Time until_;
+    // With `answers_`, where the lease says until when.
+    std::string value_;
+    uint64_t lease_ = 0;
   };
 
   struct WorkerRun {
@@ -278,6 +305,7 @@
   struct CallerJob {
     HostedJob spec_;
     bool poison_ = false;  ///< Its tasks fail.
+    bool wide_ = false;    ///< Of a burst of wide jobs.
     std::string deadly_;   ///< Task that crashes each worker that starts it.
     /// Workers that crashed while they ran a task, by task.
     std::map<std::string, uint32_t> crashes_;
@@ -330,7 +358,16 @@
 
   bool StoreReachable(size_t index) const;
   void Sync(size_t index);
-  void Write(size_t index);
+  /// Writes the record of an instance and renews its lease.
+  void KeepRecord(size_t index);
+  /// Lets the store carry out a call for an instance's record and answer it.
+  template <typename Ended>
+  void CallStore(size_t index, std::function<Ended()> carry_out);
+  void CheckNotWithdrawn(size_t index, std::string_view call);
+  /// Withdraws the record of an instance, which ends then.
+  void Withdraw(size_t index);
+  /// Removes records whose lease has ended.
+  void RemoveUnleased();
 
   void Connect(size_t from, size_t to, Incarnation wanted);
   void Accept(uint64_t id);
@@ -360,8 +397,11 @@
   void ForgetClosed(uint64_t id);
 
   void CarryOut(size_t index);
+  /// @returns the number of commands.
   template <typename Outbox>
-  void CarryOutAll(size_t index, Outbox* outbox);
+  size_t CarryOutAll(size_t index, Outbox* outbox);
+  /// Most commands that one pass may take.
+  size_t MaxCommandsPerPass() const;
   void Do(size_t index, const AnswerHostedJob& answer);
   void Do(size_t index, const SendAssign& send);
   void Do(size_t index, const SendCancel& send);
@@ -371,6 +411,13 @@
   void Do(size_t index, const ReportTask& report);
   void Do(size_t index, const WorkerLost& lost);
   void Do(size_t index, const PublishRecord& publish);
+  void Do(size_t index, const RequestLease& request);
+  void Do(size_t index, const RenewLease& renew);
+  void Do(size_t index, const ReleaseLease& release);
+  void Do(size_t index, const WriteRecord& write);
+  void Do(size_t index, const ReadRecord& read);
+  void Do(size_t index, const RecordStored& stored);
+  void Do(size_t index, const RecordWithdrawn& withdrawn);
   void Do(size_t index, const AcquireWorker& own);
   void Do(size_t index, const UpdateWorker& update);
   void Do(size_t index, const DrainWorker& retire);
@@ -393,7 +440,9 @@
   }
   void Do(size_t /*index*/, const TaskReassigned& /*task*/) {}
   void Do(size_t /*index*/, const BatchReassigned& /*batch*/) {}
-  void Do(size_t /*index*/, const JobAwaitsRoom& /*job*/) {}
+  void Do(size_t /*index*/, const JobAwaitsRoom& /*job*/) {
+    ++seen_.awaited_room_;
+  }
   void Do(size_t /*index*/, const JobRejoined& /*job*/) {}
   /// Sends over the link between two instances, in order.
   void ToOwner(size_t from, size_t to,
@@ -439,7 +488,9 @@
   void CheckFailures(const std::string& task, uint64_t start_order);
 
   void SubmitNew();
+  void SubmitWide(size_t index, uint32_t jobs);
   void Submit(const std::string& id);
+  void SubmitTo(size_t index, const std::string& id);
   void Resend(const std::string& id);
   void CheckEnded(const std::string& id);
   void BreakCallers(size_t index);
@@ -475,6 +526,10 @@
   bool store_leases_pause_ = true;
   uint64_t revision_ = 100;
   std::map<std::string, StoredRecord> records_;
+  std::map<uint64_t, Time> leases_;  ///< Until when; with `answers_`.
+  uint64_t last_lease_ = 0;
+  /// Instances and lives whose records were removed by their withdrawal.
+  std::set<std::string> removed_lives_;
   std::vector<EntryEvent> entries_;  ///< In the order of the store.
   std::vector<std::optional<LeasedWorker>> listed_;
   std::map<std::string, CallerJob> jobs_;
--- a/tests/unit/hosted_world_links.cc
+++ b/tests/unit/hosted_world_links.cc
@@ -10,6 +10,8 @@
 constexpr uint64_t kBreakEvery = 10;  // breakages that need not be constant
 constexpr int64_t kReconnectMs = 200;
 constexpr int64_t kLinkIntervalMs = 200;
+constexpr size_t kFewCommands = 10000;  // always allowed in a pass
+constexpr size_t kMaxCommandsPerTask = 10;
 
 }  // namespace
 
@@ -314,22 +316,43 @@
   Instance& instance = instances_[index];
   if (!instance.up_ || instance.carrying_) return;
   instance.carrying_ = true;
+  size_t commands = 0;
   while (!instance.desk_out_.empty() || !instance.owner_out_.empty() ||
-         !instance.claims_out_.empty()) {
-    CarryOutAll(index, &instance.claims_out_);
-    CarryOutAll(index, &instance.desk_out_);
-    CarryOutAll(index, &instance.owner_out_);
+         !instance.claims_out_.empty() || !instance.record_out_.empty()) {
+    commands += CarryOutAll(index, &instance.claims_out_);
+    commands += CarryOutAll(index, &instance.desk_out_);
+    commands += CarryOutAll(index, &instance.owner_out_);
+    commands += CarryOutAll(index, &instance.record_out_);
+    if (commands > kFewCommands && commands > MaxCommandsPerPass()) {
+      Violate(HostedRule::kBoundedPass, instance.name_.value_);
+      instance.claims_out_.clear();
+      instance.desk_out_.clear();
+      instance.owner_out_.clear();
+      instance.record_out_.clear();
+    }
   }
   instance.carrying_ = false;
 }
 
+size_t HostedWorld::MaxCommandsPerPass() const {
+  size_t tasks = 0;
+  for (const auto& [id, request] : requests_) {
+    if (request.answers_ > 0) continue;
+    for (const HostedJobStep& step : jobs_.at(request.job_).spec_.steps_) {
+      tasks += step.count_;
+    }
+  }
+  return kFewCommands + kMaxCommandsPerTask * tasks;
+}
+
 template <typename Outbox>
-void HostedWorld::CarryOutAll(size_t index, Outbox* outbox) {
+size_t HostedWorld::CarryOutAll(size_t index, Outbox* outbox) {
   Outbox commands;
   commands.swap(*outbox);
   for (const auto& command : commands) {
     std::visit([&](const auto& one) { Do(index, one); }, command);
   }
+  return commands.size();
 }
 
 void HostedWorld::Do(size_t, const AnswerHostedJob& answer) {
@@ -359,6 +382,7 @@
       if (job.done_.size() < tasks) {
         Violate(HostedRule::kCompleteIsTrue, request.job_);
       }
+      if (job.wide_) ++seen_.wide_complete_;
       break;
     }
     case HostedJobOutcome::kFailed:
@@ -434,6 +458,12 @@
       ended.end_ == TaskEnd::kLost) {
     ended.end_ = TaskEnd::kDone;
   }
+  if (ended.end_ == TaskEnd::kNoRoom) {
+    ++seen_.without_room_;
+    if (breakage_ == HostedBreakage::kFullLooksExpired) {
+      ended.end_ = TaskEnd::kExpired;
+    }
+  }
   Instance& instance = instances_[index];
   if (report.session_ == kLocalSession) {
     return instance.desk_->On(instance.name_, ended, now_, &instance.desk_out_);
@@ -509,7 +539,12 @@
 }
 
 void HostedWorld::Do(size_t index, const PublishRecord& publish) {
-  instances_[index].unwritten_ = publish.record_;
+  Instance& instance = instances_[index];
+  if (troubles_.answers_) {
+    return instance.record_->Publish(ToJson(publish.record_), now_,
+                                     &instance.record_out_);
+  }
+  instance.unwritten_ = publish.record_;
 }
 
 void HostedWorld::Do(size_t index, const AcquireWorker& own) {
