Let stops in the soak meet runs that outlast them and a slow store

Jobs of 2.75 s are sent 250 ms before each SIGTERM, to the next instance, and the store answers after 30 ms, so that the last write of the record is on its way when the drain ends.

--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -40,6 +40,11 @@
 constexpr Duration kProcessRest{2500};
 /// How long before a job the faults that are printed with it begin.
 constexpr Duration kFaultsBefore{4000};
+/// From long jobs to the end of the process that they are meant for.
+constexpr Duration kLongJobsAhead{250};
+constexpr int64_t kOutlastsLingerMs = 2750;
+/// Stops meet calls of the store that are under way.
+constexpr char kSlowStore[] = "store_answer_ms=30&";
 constexpr size_t kMaxLogLines = 60;
 constexpr size_t kMaxPrinted = 5;
 
@@ -134,7 +139,7 @@
         At(i).peer_paths_[j] = Relay(i, At(j).process_->links());
       }
     }
-    Control("faults");
+    SendPlatformFaults();
     for (Instance& one : instances_) {
       BOOST_REQUIRE(WaitUntil([&] { return one.process_->Ready(); }));
       BOOST_REQUIRE(WaitUntil([&] { return Serves(one); }));
@@ -358,7 +363,7 @@
   }
 
   void SendPlatformFaults() {
-    std::string query;
+    std::string query = kSlowStore;
     for (const std::string& one : platform_faults_) query += one + "&";
     Control("faults?" + query);
   }
@@ -399,10 +404,24 @@
   void EndOne(const Fault& fault) {
     if (!TakeProcess(fault)) return;
     const int instance = fault.instance_;
-    At(instance).process_->process().Signal(fault.kind_ == "kill" ? SIGKILL
-                                                                  : SIGTERM);
-    Note(fault.kind_ + " " + InstanceName(instance));
-    AwaitEnd(instance, Duration{fault.wide_ ? 0 : fault.hold_ms_});
+    const int signal = fault.kind_ == "kill" ? SIGKILL : SIGTERM;
+    Time at = clock_.Now();
+    if (signal == SIGTERM) {
+      // Runs that outlast the time for which a drained instance lingers.
+      SendLongJobs((instance + 1) % extent_.instances_, kOutlastsLingerMs);
+      at = at + kLongJobsAhead;
+    }
+    Later(at, [this, &fault, instance, signal] {
+      At(instance).process_->process().Signal(signal);
+      Note(fault.kind_ + " " + InstanceName(instance));
+      AwaitEnd(instance, Duration{fault.wide_ ? 0 : fault.hold_ms_});
+    });
+  }
+
+  void SendLongJobs(int instance, int64_t run_ms) {
+    constexpr int kJobs = 3;
+    constexpr int kTasks = 2;
+    for (int i = 0; i < kJobs; ++i) SendNew({{}, instance, kTasks, run_ms});
   }
 
   /// A machine that is lost: its callers learn of it, its peers only by its
@@ -411,15 +430,13 @@
   void Crash(const Fault& fault) {
     constexpr int64_t kExtraHoldMs = 250;
     constexpr int64_t kPeerStopsMs = 600;  // After the bytes have arrived.
-    constexpr int kLongJobs = 3;
     constexpr int64_t kLongMs = 2400;
-    constexpr Duration kLongJobsAhead{250};
     if (!TakeProcess(fault)) return;
     const int instance = fault.instance_;
     Time at = clock_.Now();
     if (fault.kind_ == "crash-late") {
       // Long runs at the peers, in progress when the callers send again.
-      for (int i = 0; i < kLongJobs; ++i) SendNew({{}, instance, 2, kLongMs});
+      SendLongJobs(instance, kLongMs);
       at = at + kLongJobsAhead;
       const int64_t hold_ms = fault.short_ms_ + kExtraHoldMs;
       Later(at,
