Let the simulated world wait for the third attempt of a job

The trace shows an allowed course: the caller's three attempts of a job with a deadline of 10 s began at 29.0, 40.3 and 51.5 s of the run; each but the last was answered at its deadline (timed-out, too-late), and the world ended at 55.6 s, 4 s after the third began. 25 s after the last fault aren't enough for three attempts of 11.3 s each.

The time is derived from attempts, deadline and resend time now: 35.9 s. The check stays as it was.

--- a/tests/unit/hosted_world.cc
+++ b/tests/unit/hosted_world.cc
@@ -11,8 +11,11 @@
 constexpr int64_t kPauseMs = 450;    // as `HostedInstance` takes it for one
 constexpr int64_t kStallMs = 60;     // as `HostedInstance` takes it for a stall
 constexpr int64_t kResendMs = 1300;  // of the callers
-constexpr int64_t kSettleMs = 25000;
 constexpr uint32_t kMaxAttempts = 3;
+constexpr int64_t kMaxDeadlineMs = 10000;
+/// Until all attempts of the last job have been answered, and some more.
+constexpr int64_t kSettleMs =
+    kMaxAttempts * (kMaxDeadlineMs + kResendMs) + 2000;
 
 }  // namespace
 
@@ -444,7 +447,7 @@
     // Long enough for many crashes.
     spec.objective_ = {Between(3000, 5000)};
     spec.useful_within_ = {3 * spec.objective_.ms_};
-    spec.deadline_ = {10000};
+    spec.deadline_ = {kMaxDeadlineMs};
   }
   const bool long_runs = Roll(4) == 0;
   const uint64_t steps = Roll(5) == 0 ? 2 : 1;
