--- a/tests/standins/hosted.cc
+++ b/tests/standins/hosted.cc
@@ -16,6 +16,8 @@
 ///       read the store through port I of `--views`
 ///   PUT /standin/key?set=KEY, ?remove=KEY  writes `{}` to a key of the store,
 ///       or removes it
+///   PUT /standin/config[?LIMIT=N...][&routes=no]  writes the next version of
+///       the configuration, with limits replaced by name, or without routes
 ///   GET /standin/runs  all runs, and the pairs of runs of one task at once
 /// Each answers the counts, the last one also the runs.
 namespace gentiandeal::standin {
@@ -57,17 +59,23 @@
   return faults;
 }
 
-Json Configuration() {
+Json Configuration(uint64_t version,
+                   const std::map<std::string, std::string>& changes = {}) {
   const Json queue = {
       {"name", "r-1"},        {"host", "desk.example"}, {"prefix", "/case/"},
       {"kind", "mutating"},   {"timeout_ms", 1500},     {"slo_ms", 60},
       {"service", "dossier"}, {"retries", 2},           {"stretch", 1.6}};
-  const Json limits = {{"max_header_bytes", 16384},
-                       {"max_body_bytes", 262144},
-                       {"header_timeout_ms", 3000},
-                       {"idle_timeout_ms", 15000}};
-  return {{"version", 3},
-          {"routes", Json::array({queue})},
+  Json limits = {{"max_header_bytes", 16384},
+                 {"max_body_bytes", 262144},
+                 {"header_timeout_ms", 3000},
+                 {"idle_timeout_ms", 15000}};
+  Json routes = Json::array({queue});
+  for (const auto& [name, value] : changes) {
+    if (limits.contains(name)) limits[name] = std::atoll(value.c_str());
+    if (name == "routes") routes.clear();
+  }
+  return {{"version", version},
+          {"routes", routes},
           {"services", Json::array()},
           {"limits", limits}};
 }
@@ -90,7 +98,8 @@
   world.base_ = event_base_new();
   Store store(&world);
   const std::vector<std::string> views = store.Start(options.views_);
-  store.Put("op/config", Configuration().dump());
+  uint64_t version = 3;
+  store.Put("op/config", Configuration(version).dump());
   std::list<HostedWorker> workers;
   Json addresses = Json::array();
   for (uint32_t i = 0; i < options.workers_; ++i) {
@@ -111,6 +120,8 @@
     } else if (path == "/standin/address") {
       store.ShowAddress(std::stoul(query.at("view")), query.at("from"),
                         query.at("to"));
+    } else if (path == "/standin/config") {
+      store.Put("op/config", Configuration(++version, query).dump());
     } else if (path == "/standin/key") {
       if (query.count("set") > 0) store.Put(query["set"], "{}");
       if (query.count("remove") > 0) store.Remove(query["remove"]);
