Count what an HTTP server leaves without an answer

Each connection that the server ends by itself is counted by what was left: bytes unread, a request in part, one in process, a reply unsent. Logged as requests-unanswered, with how late the check for timeouts ran, also at the exit; metric requests_unanswered_total. No decision changes.

--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -64,6 +64,8 @@
               [](const HttpLoad& load) { return load.refused_; });
   AddByServer(out, "connections_shed", "reason", kHttpCloseNames, loads,
               [](const HttpLoad& load) { return load.closed_; });
+  AddByServer(out, "requests_unanswered", "left", kHttpUnansweredNames, loads,
+              [](const HttpLoad& load) { return load.unanswered_; });
   prometheus::MetricFamily& open =
       AddFamily(out, "client_connections", /*gauge=*/true);
   for (size_t server = 0; server < loads.size(); ++server) {
--- a/src/http_limits.h
+++ b/src/http_limits.h
@@ -72,12 +72,24 @@
 inline constexpr std::array<std::string_view, 5> kHttpCloseNames = {
     "crowded", "stalled", "idle", "slow-body", "slow-reply"};
 
+/// What was left when an HTTP server itself ended a connection without an
+/// answer.
+enum class HttpUnanswered : uint8_t {
+  kUnread,   ///< Bytes that had arrived and weren't read.
+  kPartial,  ///< A request of which a part had been read.
+  kPending,  ///< A request that was being processed.
+  kUnsent,   ///< A part of a reply.
+};
+inline constexpr std::array<std::string_view, 4> kHttpUnansweredNames = {
+    "unread", "partial", "pending", "unsent"};
+
 /// What clients of an HTTP server hold and what has been shed.
 struct HttpLoad {
   std::array<uint64_t, kHeldKinds> held_{};  ///< Bytes by `HeldKind`.
   uint64_t connections_ = 0;
   std::array<uint64_t, kHttpRefusalNames.size()> refused_{};
   std::array<uint64_t, kHttpCloseNames.size()> closed_{};
+  std::array<uint64_t, kHttpUnansweredNames.size()> unanswered_{};
 };
 
 }  // namespace gentiandeal
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
-constexpr timeval kTimeoutCheckInterval{1, 0};
+constexpr Duration kTimeoutCheckInterval{1000};
 
 void LimitSocketBuffers(int fd, int bytes) {
   if (bytes == 0) return;
@@ -95,7 +95,9 @@
     evhtp_set_gencb(htp_, &OnRequest, this);
     evhtp_set_post_accept_cb(htp_, &OnAccept, this);
     timeout_check_ = event_new(base, -1, EV_PERSIST, &OnTimeoutCheck, this);
-    event_add(timeout_check_, &kTimeoutCheckInterval);
+    const timeval interval{kTimeoutCheckInterval.ms_ / 1000, 0};
+    event_add(timeout_check_, &interval);
+    last_check_ = clock_.Now();
   }
 
   ~Impl() {
@@ -104,6 +106,7 @@
     while (!connections_.empty()) {
       evhtp_connection_free(connections_.begin()->first);
     }
+    LogShed(shared_.memory_.TakePeak());
     evhtp_unbind_socket(htp_);
     evhtp_free(htp_);
   }
@@ -263,6 +266,7 @@
     auto* self = static_cast<Impl*>(arg);
     const auto found = self->connections_.find(conn);
     if (found == self->connections_.end()) return EVHTP_RES_OK;
+    found->second->NoteUnanswered();
     self->DropPendingRequest(found->second.get());
     found->second->OnLibraryClose();
     if (found->second->refused()) ++self->stats_.refused_malformed_;
@@ -279,6 +283,7 @@
     HttpServerConnection* connection = self->Find(conn);
     const bool ended = (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
     if (connection == nullptr || !ended) return;
+    connection->OnPeerEnd();
     self->DropPendingRequest(connection);
     connection->ScheduleClose();
   }
@@ -286,6 +291,9 @@
   static void OnTimeoutCheck(int, short, void* arg) {
     auto* self = static_cast<Impl*>(arg);
     const Time now = self->clock_.Now();
+    self->check_late_ =
+        std::max(Duration{}, now - self->last_check_ - kTimeoutCheckInterval);
+    self->last_check_ = now;
     for (auto& [conn, connection] : self->connections_) {
       if (connection->CheckTimeouts(now)) ++self->stats_.request_timeouts_;
     }
@@ -304,14 +312,16 @@
         if (counts[i] == logged[i]) continue;
         spdlog::warn(
             "event={} server={} reason={} count={} connections={} peak_bytes={}"
-            " largest_client={} largest_bytes={}",
+            " largest_client={} largest_bytes={} check_late_ms={}",
             event, options_.name_, names[i], counts[i] - logged[i],
             shared_.memory_.connections(), peak.total_, peak.host_,
-            peak.host_bytes_);
+            peak.host_bytes_, check_late_.ms_);
       }
     };
     log("clients-refused", kHttpRefusalNames, shed.refused_, logged_.refused_);
     log("clients-closed", kHttpCloseNames, shed.closed_, logged_.closed_);
+    log("requests-unanswered", kHttpUnansweredNames, shed.unanswered_,
+        logged_.unanswered_);
     logged_ = shed;
   }
 
@@ -364,6 +374,8 @@
   FreeMemoryReturn free_memory_;
   evhtp_t* htp_;
   event* timeout_check_ = nullptr;
+  Time last_check_;
+  Duration check_late_;  ///< Of the last check for timeouts.
   MonotonicClock clock_;
   Address address_;
   uint64_t last_request_ = 0;
--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -8,6 +8,7 @@
 
 #include "head_check.h"
 #include "job_json.h"
+#include "socket_address.h"
 
 namespace gentiandeal {
 namespace {
@@ -164,10 +165,23 @@
     ++shared_->shed_.refused_[static_cast<size_t>(HttpRefusal::kMemory)];
     SendNow(socket(), RefusalText(503, Errc::kQueueFull, kMemoryInUse));
   }
+  NoteUnanswered();
   FreeRequest();
   Close(HttpClose::kStalled);
 }
 
+void HttpServerConnection::NoteUnanswered() {
+  if (std::exchange(end_noted_, true)) return;
+  const auto count = [this](HttpUnanswered left) {
+    ++shared_->shed_.unanswered_[static_cast<size_t>(left)];
+  };
+  if (IsSending()) return count(HttpUnanswered::kUnsent);
+  if (phase_ == Phase::kAwaitingReply) return count(HttpUnanswered::kPending);
+  if (refused_ || phase_ == Phase::kClosing) return;
+  if (reading_) return count(HttpUnanswered::kPartial);
+  if (HasUnread()) count(HttpUnanswered::kUnread);
+}
+
 void HttpServerConnection::OnLibraryClose() {
   if (!reading_ || refused_ || IsSending()) return;
   refused_ = true;
@@ -180,6 +194,7 @@
 }
 
 void HttpServerConnection::Close(HttpClose reason) {
+  NoteUnanswered();
   ++shared_->shed_.closed_[static_cast<size_t>(reason)];
   phase_ = Phase::kClosing;
   reading_ = false;
@@ -190,7 +205,9 @@
   const HttpLimits& limits = shared_->limits_;
   const Duration age = now - timeout_start_;
   if (phase_ == Phase::kClosing) {
-    if (age > kLingerTimeout) ScheduleClose();
+    if (age <= kLingerTimeout) return false;
+    NoteUnanswered();
+    ScheduleClose();
     return false;
   }
   if (reading_) return CheckArrival(now);
@@ -235,6 +252,11 @@
   return evbuffer_get_length(bufferevent_get_output(socket_)) > 0;
 }
 
+bool HttpServerConnection::HasUnread() const {
+  return evbuffer_get_length(bufferevent_get_input(socket_)) > 0 ||
+         HasUnreadBytes(socket());
+}
+
 void HttpServerConnection::SetState(ClientState state) {
   shared_->memory_.SetState(id_, state, shared_->clock_.Now());
 }
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -73,6 +73,13 @@
   /// reply.
   void CloseForOthers();
 
+  /// The other side has ended the connection.
+  void OnPeerEnd() { end_noted_ = true; }
+
+  /// Counts what this server leaves without an answer, as it ends the
+  /// connection. Called before its state is given up; later calls do nothing.
+  void NoteUnanswered();
+
   /// The library is about to free the connection. Sends status 400 when the
   /// current request is incomplete: the sender has ended it early.
   void OnLibraryClose();
@@ -143,6 +150,8 @@
   /// Time that `bytes` may take beyond `head_timeout_`.
   Duration TransferTime(uint64_t bytes) const;
   bool IsSending() const;
+  /// Whether bytes that have arrived haven't been handled.
+  bool HasUnread() const;
 
   bufferevent* socket_;
   event* close_event_;
@@ -167,6 +176,7 @@
   bool keeps_reading_ = false;
   bool discarded_ = false;
   bool write_shut_down_ = false;
+  bool end_noted_ = false;
   Time timeout_start_;        // of the request, reply, idle or linger timeout
   uint64_t reply_bytes_ = 0;  // when the reply was queued
 };
--- a/src/socket_address.cc
+++ b/src/socket_address.cc
@@ -108,4 +108,9 @@
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+bool HasUnreadBytes(int fd) {
+  char byte = 0;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 }  // namespace gentiandeal
--- a/src/socket_address.h
+++ b/src/socket_address.h
@@ -52,6 +52,9 @@
 /// if bytes sent before that are unread.
 bool HasPeerClosed(int fd);
 
+/// Whether bytes that have arrived are unread.
+bool HasUnreadBytes(int fd);
+
 }  // namespace gentiandeal
 
 #endif  // GENTIANDEAL_SRC_SOCKET_ADDRESS_H_
