--- a/tests/process/hosted_fixture.h
+++ b/tests/process/hosted_fixture.h
@@ -12,6 +12,7 @@
 #include <optional>
 
 #include "hosted_process.h"
+#include "kept_caller.h"
 
 /// Instances on the stand-in of the users' platform, and their callers.
 namespace gentiandeal::process {
@@ -48,15 +49,7 @@
   RawCaller(const RawCaller&) = delete;
   RawCaller& operator=(const RawCaller&) = delete;
 
-  void Send(const HttpRequest& request) {
-    std::string text = request.method_ + " " + request.path_ + " HTTP/1.1\r\n";
-    for (const auto& [name, value] : request.fields_) {
-      text.append(name).append(": ").append(value).append("\r\n");
-    }
-    text += "Content-Length: " + std::to_string(request.body_.size()) +
-            "\r\n\r\n" + request.body_;
-    SendBytes(text);
-  }
+  void Send(const HttpRequest& request) { SendBytes(ToText(request)); }
 
   /// Sends as much as the connection takes within a second.
   /// @returns the number of bytes sent.
