Look at the socket before a connection is ended for lateness

Cause: HttpServerConnection::CheckTimeouts compared times only. When the process is late, libevent's pass reads at most 32 sockets first and puts their callbacks behind the timer, which then closed the connections although their requests lay in the buffer (read by the process) or in the socket. A new limit held at once for waits that were under way, of which their senders knew another one. The time to linger counted from the queueing of the last reply, so that a slow one was cut after 2 s.

The decision is a type of its own now, ConnectionTimeout: unread bytes are the other side's turn taken, so a wait for a request goes on, and other waits are extended once. Each wait keeps the limits under which it began. Replies tell the timeout of idle connections (Keep-Alive), which are kept a second longer than told, so that a request within it never crosses the close. Lingering begins once the reply is sent.

--- /dev/null
+++ b/src/connection_timeout.h
@@ -0,0 +1,88 @@
+#ifndef GENTIANDEAL_SRC_CONNECTION_TIMEOUT_H_
+#define GENTIANDEAL_SRC_CONNECTION_TIMEOUT_H_
+
+#include <concepts>
+#include <utility>
+
+#include "http_limits.h"
+
+/// Decides when a server gives up waiting for the other side of a connection.
+/// Performs no I/O of its own and reads no clock.
+namespace gentiandeal {
+
+/// What a server waits for on a connection.
+enum class ConnectionWait : uint8_t {
+  kNone,     ///< Its own reply.
+  kRequest,  ///< The first byte of a request.
+  kHead,
+  kBody,
+  kReplySent,
+  kSkippedBody,  ///< The rest of a body that isn't used, after the reply.
+  kPeerEnd,      ///< The other side's end, after the last reply.
+};
+
+/// State of a socket at the time of the call.
+template <typename T>
+concept SocketState = requires(const T& socket) {
+  /// Whether bytes that have arrived haven't been handled.
+  { socket.HasUnread() } -> std::same_as<bool>;
+  /// Whether the kernel takes more bytes.
+  { socket.IsWritable() } -> std::same_as<bool>;
+};
+
+/// Timeout of one wait. It keeps the limits that were in force when the wait
+/// began: they are what the other side was told or could know. A process that
+/// is late may see a limit exceeded although the other side has done its part,
+/// so the socket decides, not the clock alone.
+class ConnectionTimeout {
+ public:
+  /// Time beyond the idle timeout that the other side was told, so that its
+  /// last request within the timeout doesn't cross the close.
+  static constexpr Duration kIdleGrace{1000};
+  /// Longest time between the last reply and the close. What the sender still
+  /// sends in this time is discarded.
+  static constexpr Duration kLingerTimeout{2000};
+
+  void Begin(const HttpLimits& limits, Time now) {
+    limits_ = limits;
+    Restart(now);
+  }
+  /// Begins another wait under the same limits.
+  void Restart(Time now) {
+    start_ = now;
+    extended_ = false;
+  }
+
+  /// @param bytes Received of a body, or of the reply that is being sent.
+  Duration Limit(ConnectionWait wait, uint64_t bytes) const;
+
+  /// Whether the wait is over. A wait for a request isn't while bytes are
+  /// unread: they are one. Others are extended once, until the next check, if
+  /// the server itself has yet to read or write.
+  template <SocketState Socket>
+  bool IsOver(ConnectionWait wait, uint64_t bytes, Time now,
+              const Socket& socket) {
+    if (wait == ConnectionWait::kNone || now - start_ <= Limit(wait, bytes)) {
+      return false;
+    }
+    if (wait == ConnectionWait::kPeerEnd) return true;
+    const bool is_own_turn = wait == ConnectionWait::kReplySent
+                                 ? socket.IsWritable()
+                                 : socket.HasUnread();
+    if (!is_own_turn) return true;
+    if (wait == ConnectionWait::kRequest) return false;
+    return std::exchange(extended_, true);
+  }
+
+ private:
+  /// Time that `bytes` may take beyond the timeout of the head.
+  Duration TransferTime(uint64_t bytes) const;
+
+  HttpLimits limits_;
+  Time start_;
+  bool extended_ = false;
+};
+
+}  // namespace gentiandeal
+
+#endif  // GENTIANDEAL_SRC_CONNECTION_TIMEOUT_H_
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -158,6 +158,7 @@
       if (found == pending_requests_.end()) continue;
       HttpServerConnection* connection = Find(found->second->conn);
       events_.silent_(id, silence);
+      connection->OnPeerEnd();
       DropPendingRequest(connection);
       connection->ScheduleClose();
     }
@@ -358,7 +359,11 @@
                  const HttpReply& reply) {
     const bool close_connection =
         connection->must_close() || reply.close_connection_;
-    if (close_connection) AddField(request, "Connection", "close");
+    if (close_connection) {
+      AddField(request, "Connection", "close");
+    } else {
+      AddKeepAlive(request);
+    }
     if (reply.body_.empty()) AddField(request, "Content-Length", "0");
     // `HttpServerConnection` closes the connection once the reply is sent.
     evhtp_request_set_keepalive(request, 1);
@@ -366,6 +371,18 @@
     connection->OnReplyQueued(close_connection);
   }
 
+  /// Tells the sender how long it may use the connection for another request,
+  /// so that none crosses the close of an idle connection.
+  void AddKeepAlive(evhtp_request_t* request) const {
+    const int64_t seconds = shared_.limits_.idle_timeout_.ms_ / 1000;
+    if (seconds == 0) return;
+    // For HTTP/1.0 the library adds this field itself.
+    if (request->proto == EVHTP_PROTO_11) {
+      AddField(request, "Connection", "keep-alive");
+    }
+    AddField(request, "Keep-Alive", "timeout=" + std::to_string(seconds));
+  }
+
   event_base* base_;
   HttpServerEvents events_;
   HttpServerOptions options_;
--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -13,9 +13,6 @@
 namespace gentiandeal {
 namespace {
 
-/// Longest time between the last reply and the close. What the sender still
-/// sends in this time is discarded.
-constexpr Duration kLingerTimeout{2000};
 constexpr std::string_view kInvalidBody =
     "body is not valid: send Content-Length or good chunks";
 constexpr std::string_view kMemoryInUse =
@@ -101,8 +98,8 @@
       close_event_(event_new(base, -1, 0, &OnClose, conn)),
       shared_(shared),
       id_(id),
-      accepted_at_(shared->clock_.Now()),
-      timeout_start_(accepted_at_) {
+      accepted_at_(shared->clock_.Now()) {
+  BeginWait();
   bufferevent_data_cb read = nullptr;
   bufferevent_data_cb write = nullptr;
   bufferevent_event_cb event = nullptr;
@@ -135,7 +132,7 @@
 }
 
 void HttpServerConnection::OnReplyQueued(bool close_connection) {
-  timeout_start_ = shared_->clock_.Now();
+  BeginWait();
   reply_bytes_ = evbuffer_get_length(bufferevent_get_output(socket_));
   shared_->memory_.HoldAnyway(id_, HeldKind::kOpenRequest, 0);
   shared_->memory_.HoldAnyway(id_, HeldKind::kReply, reply_bytes_);
@@ -151,9 +148,10 @@
   refused_ = true;
   ++shared_->shed_.refused_[static_cast<size_t>(reason)];
   FreeRequest();
-  timeout_start_ = shared_->clock_.Now();
+  BeginWait();
   const std::string text = RefusalText(status, error, detail);
   bufferevent_write(socket_, text.data(), text.size());
+  reply_bytes_ = text.size();
   shared_->memory_.HoldAnyway(id_, HeldKind::kReply, text.size());
   SetState(ClientState::kWaiting);
   CloseWhenSent();
@@ -202,56 +200,62 @@
 }
 
 bool HttpServerConnection::CheckTimeouts(Time now) {
-  const HttpLimits& limits = shared_->limits_;
-  const Duration age = now - timeout_start_;
-  if (phase_ == Phase::kClosing) {
-    if (age <= kLingerTimeout) return false;
-    NoteUnanswered();
-    ScheduleClose();
-    return false;
-  }
-  if (reading_) return CheckArrival(now);
-  const Duration reply_limit =
-      limits.min_bytes_per_s_ > 0
-          ? limits.head_timeout_ + TransferTime(reply_bytes_)
-          : limits.idle_timeout_;
-  if (phase_ == Phase::kReadingHead && age > limits.idle_timeout_) {
-    Close(HttpClose::kIdle);
-  } else if (phase_ == Phase::kSendingReply && age > reply_limit) {
-    Close(HttpClose::kSlowReply);
-  } else if (phase_ == Phase::kSkippingBody && age > limits.request_timeout_) {
-    Close(HttpClose::kSlowBody);
+  const ConnectionWait wait = CurrentWait();
+  const uint64_t bytes =
+      wait == ConnectionWait::kBody ? body_bytes_read_ : reply_bytes_;
+  if (!timeout_.IsOver(wait, bytes, now, *this)) return false;
+  switch (wait) {
+    case ConnectionWait::kHead:
+    case ConnectionWait::kBody:
+      Refuse(HttpRefusal::kTime, 408, Errc::kBadRequest,
+             "request must arrive whole within " +
+                 std::to_string(timeout_.Limit(wait, bytes).ms_) + " ms");
+      return true;
+    case ConnectionWait::kReplySent:
+      Close(HttpClose::kSlowReply);
+      break;
+    case ConnectionWait::kSkippedBody:
+      Close(HttpClose::kSlowBody);
+      break;
+    case ConnectionWait::kPeerEnd:
+      ScheduleClose();
+      break;
+    case ConnectionWait::kRequest:
+      Close(HttpClose::kIdle);
+      break;
+    case ConnectionWait::kNone:
+      break;
   }
   return false;
 }
 
-// Refuses a request that arrives too slowly. @returns whether it was.
-bool HttpServerConnection::CheckArrival(Time now) {
-  const HttpLimits& limits = shared_->limits_;
-  const Duration age = now - timeout_start_;
-  Duration limit = limits.request_timeout_;
-  if (phase_ == Phase::kReadingHead) {
-    limit = std::min(limit, limits.head_timeout_);
-  } else if (limits.min_bytes_per_s_ > 0) {
-    limit =
-        std::min(limit, limits.head_timeout_ + TransferTime(body_bytes_read_));
+ConnectionWait HttpServerConnection::CurrentWait() const {
+  switch (phase_) {
+    case Phase::kReadingHead:
+      return reading_ ? ConnectionWait::kHead : ConnectionWait::kRequest;
+    case Phase::kReadingBody:
+      return ConnectionWait::kBody;
+    case Phase::kSendingReply:
+      return ConnectionWait::kReplySent;
+    case Phase::kSkippingBody:
+      return ConnectionWait::kSkippedBody;
+    case Phase::kClosing:
+      return IsSending() ? ConnectionWait::kReplySent
+                         : ConnectionWait::kPeerEnd;
+    case Phase::kAwaitingReply:
+      break;
   }
-  if (age <= limit) return false;
-  Refuse(
-      HttpRefusal::kTime, 408, Errc::kBadRequest,
-      "request must arrive whole within " + std::to_string(limit.ms_) + " ms");
-  return true;
-}
-
-Duration HttpServerConnection::TransferTime(uint64_t bytes) const {
-  const int64_t rate = shared_->limits_.min_bytes_per_s_;
-  return {static_cast<int64_t>(bytes) * 1000 / std::max<int64_t>(rate, 1)};
+  return ConnectionWait::kNone;
 }
 
 bool HttpServerConnection::IsSending() const {
   return evbuffer_get_length(bufferevent_get_output(socket_)) > 0;
 }
 
+bool HttpServerConnection::IsWritable() const {
+  return gentiandeal::IsWritable(socket());
+}
+
 bool HttpServerConnection::HasUnread() const {
   return evbuffer_get_length(bufferevent_get_input(socket_)) > 0 ||
          HasUnreadBytes(socket());
@@ -324,7 +328,7 @@
   if (arrived == 0) return false;
   if (!reading_) {
     reading_ = true;
-    timeout_start_ = shared_->clock_.Now();
+    BeginWait();
     head_bytes_ = 0;
     head_bytes_seen_ = 0;
     SetState(ClientState::kWaiting);
@@ -442,7 +446,7 @@
   uses_body_ = true;
   if (phase_ != Phase::kSkippingBody) return;
   phase_ = Phase::kReadingHead;
-  timeout_start_ = shared_->clock_.Now();
+  timeout_.Restart(shared_->clock_.Now());
   SetState(ClientState::kIdle);
 }
 
@@ -482,7 +486,7 @@
 
 void HttpServerConnection::OnAllSent() {
   if (phase_ == Phase::kSendingReply) {
-    timeout_start_ = shared_->clock_.Now();
+    timeout_.Restart(shared_->clock_.Now());
     phase_ = uses_body_ ? Phase::kReadingHead : Phase::kSkippingBody;
     SetState(uses_body_ ? ClientState::kIdle : ClientState::kWaiting);
     // Reads a pipelined request that arrived before the reply was sent.
@@ -494,6 +498,7 @@
   // The other side has `kLingerTimeout` to read the last reply; an immediate
   // close could reset the connection and lose it.
   write_shut_down_ = true;
+  timeout_.Restart(shared_->clock_.Now());
   SetState(ClientState::kLingering);
   shutdown(socket(), SHUT_WR);
 }
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -8,6 +8,7 @@
 #include "caller_silence.h"
 #include "chunk_check.h"
 #include "client_memory.h"
+#include "connection_timeout.h"
 #include "http_limits.h"
 
 namespace gentiandeal {
@@ -91,8 +92,9 @@
   void ScheduleClose();
 
   /// Refuses a request that did not arrive in time and closes an idle or
-  /// lingering connection, or one whose sender takes no reply. @returns true
-  /// when a request was refused.
+  /// lingering connection, or one whose sender takes no reply, unless the
+  /// socket shows that this server is late itself. @returns true when a request
+  /// was refused.
   bool CheckTimeouts(Time now);
 
   Id id() const { return id_; }
@@ -104,6 +106,9 @@
   /// complete; zero for a later request.
   Duration first_request_wait() const { return first_request_wait_; }
 
+  bool HasUnread() const;
+  bool IsWritable() const;
+
   /// The request that awaits its reply, or an invalid id.
   RequestId pending_request_;
   /// Silence of the sender of `pending_request_`, where that is limited.
@@ -144,14 +149,12 @@
   void FreeRequest();
   void CloseWhenSent();
   void OnAllSent();
-  bool CheckArrival(Time now);
+  /// Starts the timeout of the next wait, under the limits in force now.
+  void BeginWait() { timeout_.Begin(shared_->limits_, shared_->clock_.Now()); }
+  ConnectionWait CurrentWait() const;
   void Close(HttpClose reason);
   void SetState(ClientState state);
-  /// Time that `bytes` may take beyond `head_timeout_`.
-  Duration TransferTime(uint64_t bytes) const;
   bool IsSending() const;
-  /// Whether bytes that have arrived haven't been handled.
-  bool HasUnread() const;
 
   bufferevent* socket_;
   event* close_event_;
@@ -177,7 +180,7 @@
   bool discarded_ = false;
   bool write_shut_down_ = false;
   bool end_noted_ = false;
-  Time timeout_start_;        // of the request, reply, idle or linger timeout
+  ConnectionTimeout timeout_;
   uint64_t reply_bytes_ = 0;  // when the reply was queued
 };
 
--- a/src/socket_address.cc
+++ b/src/socket_address.cc
@@ -108,6 +108,11 @@
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+bool IsWritable(int fd) {
+  pollfd wanted{fd, POLLOUT, 0};
+  return poll(&wanted, 1, 0) > 0 && (wanted.revents & POLLOUT) != 0;
+}
+
 bool HasUnreadBytes(int fd) {
   char byte = 0;
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
--- a/src/socket_address.h
+++ b/src/socket_address.h
@@ -52,6 +52,9 @@
 /// if bytes sent before that are unread.
 bool HasPeerClosed(int fd);
 
+/// Whether the kernel takes more bytes to send.
+bool IsWritable(int fd);
+
 /// Whether bytes that have arrived are unread.
 bool HasUnreadBytes(int fd);
 
