Refuse requests that have arrived where a connection must end

Where the connection has to go at once, its sender is told with 503 that the request isn't run, which is true: it was never processed. What is left unread is discarded first, as a close with unread bytes resets the connection and may take the refusal with it. A buffered reply is given to the kernel as far as it goes.

--- a/src/http_limits.h
+++ b/src/http_limits.h
@@ -55,11 +55,12 @@
   kMalformed,
   kHeadSize,
   kBodySize,
-  kTime,    ///< It did not arrive in time.
-  kMemory,  ///< Its bytes don't fit into the memory for clients.
+  kTime,      ///< It did not arrive in time.
+  kMemory,    ///< Its bytes don't fit into the memory for clients.
+  kStopping,  ///< The server ends.
 };
-inline constexpr std::array<std::string_view, 5> kHttpRefusalNames = {
-    "malformed", "head-size", "body-size", "time", "memory"};
+inline constexpr std::array<std::string_view, 6> kHttpRefusalNames = {
+    "malformed", "head-size", "body-size", "time", "memory", "stopping"};
 
 /// Why connections are closed by an HTTP server itself.
 enum class HttpClose : uint8_t {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -103,6 +103,7 @@
   ~Impl() {
     closing_ = true;
     event_free(timeout_check_);
+    for (auto& [conn, connection] : connections_) connection->EndWithServer();
     while (!connections_.empty()) {
       evhtp_connection_free(connections_.begin()->first);
     }
--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -13,10 +13,14 @@
 namespace gentiandeal {
 namespace {
 
+/// Unread bytes that are discarded before a close, at most.
+constexpr size_t kMaxDiscardedBytes = 256 * 1024;
 constexpr std::string_view kInvalidBody =
     "body is not valid: send Content-Length or good chunks";
 constexpr std::string_view kMemoryInUse =
     "memory for requests is in use: send it again later";
+constexpr std::string_view kServerEnds =
+    "instance is shutting down: send it to another instance";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 /// Memory of a parsed header field besides its text.
@@ -89,6 +93,33 @@
   shutdown(fd, SHUT_WR);
 }
 
+// Sends what the kernel takes of a buffer that is freed next. Its library only
+// writes it from the event loop. @returns whether all of it was sent.
+bool SendBuffered(int fd, evbuffer* buffer) {
+  std::array<evbuffer_iovec, 8> parts{};
+  const int count = evbuffer_peek(buffer, -1, nullptr, parts.data(),
+                                  static_cast<int>(parts.size()));
+  msghdr message{};
+  message.msg_iov = reinterpret_cast<iovec*>(parts.data());
+  message.msg_iovlen =
+      std::min<size_t>(static_cast<size_t>(count), parts.size());
+  const ssize_t sent = sendmsg(fd, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+  shutdown(fd, SHUT_WR);
+  return sent == static_cast<ssize_t>(evbuffer_get_length(buffer));
+}
+
+// A close with unread bytes resets the connection, which may discard the last
+// reply on its way.
+void DiscardUnread(int fd) {
+  std::array<char, 4096> bytes;
+  size_t discarded = 0;
+  ssize_t size = 0;
+  while (discarded < kMaxDiscardedBytes &&
+         (size = recv(fd, bytes.data(), bytes.size(), MSG_DONTWAIT)) > 0) {
+    discarded += static_cast<size_t>(size);
+  }
+}
+
 }  // namespace
 
 HttpServerConnection::HttpServerConnection(event_base* base,
@@ -158,11 +189,7 @@
 }
 
 void HttpServerConnection::CloseForOthers() {
-  if (reading_ && phase_ != Phase::kClosing && !IsSending()) {
-    refused_ = true;
-    ++shared_->shed_.refused_[static_cast<size_t>(HttpRefusal::kMemory)];
-    SendNow(socket(), RefusalText(503, Errc::kQueueFull, kMemoryInUse));
-  }
+  RefuseNow(HttpRefusal::kMemory, Errc::kQueueFull, kMemoryInUse);
   NoteUnanswered();
   FreeRequest();
   Close(HttpClose::kStalled);
@@ -180,6 +207,27 @@
   if (HasUnread()) count(HttpUnanswered::kUnread);
 }
 
+void HttpServerConnection::RefuseNow(HttpRefusal reason, Errc error,
+                                     std::string_view detail) {
+  if (phase_ == Phase::kAwaitingReply || phase_ == Phase::kClosing ||
+      IsSending() || !(reading_ || HasUnread())) {
+    return;
+  }
+  refused_ = true;
+  ++shared_->shed_.refused_[static_cast<size_t>(reason)];
+  SendNow(socket(), RefusalText(503, error, detail));
+  DiscardUnread(socket());
+}
+
+void HttpServerConnection::EndWithServer() {
+  if (IsSending()) {
+    end_noted_ = SendBuffered(socket(), bufferevent_get_output(socket_));
+    DiscardUnread(socket());
+  } else {
+    RefuseNow(HttpRefusal::kStopping, Errc::kDraining, kServerEnds);
+  }
+}
+
 void HttpServerConnection::OnLibraryClose() {
   if (!reading_ || refused_ || IsSending()) return;
   refused_ = true;
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -85,6 +85,10 @@
   /// current request is incomplete: the sender has ended it early.
   void OnLibraryClose();
 
+  /// The server ends. Sends what is left of a reply as far as the kernel takes
+  /// it, and refuses a request that has arrived but wasn't processed.
+  void EndWithServer();
+
   int socket() const { return bufferevent_getfd(socket_); }
 
   /// Closes the connection from the event loop. Safe to call within the
@@ -152,6 +156,9 @@
   /// Starts the timeout of the next wait, under the limits in force now.
   void BeginWait() { timeout_.Begin(shared_->limits_, shared_->clock_.Now()); }
   ConnectionWait CurrentWait() const;
+  /// Tells the sender of a request that has arrived, whole or in part, that it
+  /// isn't run, just before the connection is freed.
+  void RefuseNow(HttpRefusal reason, Errc error, std::string_view detail);
   void Close(HttpClose reason);
   void SetState(ClientState state);
   bool IsSending() const;
