Refuse a request of which bytes were discarded behind a reply

Cause: HoldReadAhead discards bytes that don't fit, and the next reply then says Connection: close. In the state kSendingReply that reply has been queued already, without the field, so that the connection went on and took what followed for a head.

Such a request is refused with 503, not run, once the reply is sent, and the connection ends.

--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -341,6 +341,10 @@
       !uses_body_) {
     SkipBody(from);
   }
+  if (phase_ == Phase::kReadingHead && discarded_) {
+    // The reply before it has promised that another request would be read.
+    Refuse(HttpRefusal::kMemory, 503, Errc::kQueueFull, kMemoryInUse);
+  }
   if (phase_ == Phase::kReadingHead && ReadHead(from)) StartBody();
   if (phase_ == Phase::kReadingBody && ReadBody(from)) {
     PassRequest(to);
@@ -537,8 +541,12 @@
     timeout_.Restart(shared_->clock_.Now());
     phase_ = uses_body_ ? Phase::kReadingHead : Phase::kSkippingBody;
     SetState(uses_body_ ? ClientState::kIdle : ClientState::kWaiting);
-    // Reads a pipelined request that arrived before the reply was sent.
-    if (evbuffer_get_length(bufferevent_get_input(socket_)) == 0) return;
+    // Reads a pipelined request that arrived before the reply was sent, or
+    // refuses one of which bytes were discarded.
+    if (!discarded_ &&
+        evbuffer_get_length(bufferevent_get_input(socket_)) == 0) {
+      return;
+    }
     bufferevent_trigger(socket_, EV_READ,
                         BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
   }
