--- a/tests/process/hosted_stop_test.cc
+++ b/tests/process/hosted_stop_test.cc
@@ -49,6 +49,42 @@
   CheckRules();
 }
 
+// Guards against jobs that are taken while the process ends: their callers
+// would only see the end of the connection.
+BOOST_AUTO_TEST_CASE(AJobThatComesWhileTheProcessEndsIsAnswered) {
+  struct SentBy {
+    Time at_;
+    std::unique_ptr<RawCaller> caller_;
+  };
+  // An end that nobody could have seen when the job was sent.
+  constexpr Duration kNoticed{100};
+  constexpr size_t kJobs = 150;
+  Report("PUT", "?store_answer_ms=350");
+  std::vector<SentBy> sent(kJobs);
+  for (SentBy& one : sent)
+    one.caller_ = std::make_unique<RawCaller>(a_.callers());
+  a_.process().Signal(SIGTERM);
+  Wait(Duration{2000});
+  size_t next = 0;
+  while (next < kJobs && a_.process().WaitExit(Duration{30}) == -1) {
+    sent[next].at_ = clock_.Now();
+    sent[next++].caller_->Send(Job(1, 400));
+  }
+  BOOST_TEST(a_.process().WaitExit() == 0);
+  const Time ended = clock_.Now();
+  size_t checked = 0;
+  for (size_t i = 0; i < next; ++i) {
+    if (ended - sent[i].at_ < kNoticed) continue;
+    ++checked;
+    BOOST_TEST_CONTEXT("sent " << (ended - sent[i].at_).ms_
+                               << " ms before the end") {
+      BOOST_TEST(!sent[i].caller_->Receive(Duration{100}).empty());
+    }
+  }
+  BOOST_TEST(checked > 20U);
+  CheckRules();
+}
+
 // Guards against a process that is ended by a SIGTERM during its start: the
 // platform takes that for a crash.
 BOOST_AUTO_TEST_CASE(AStopDuringTheStartEndsWell) {
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -206,6 +206,41 @@
   BOOST_TEST((now_ - Time{1000}).ms_ == 1000);
 }
 
+// Guards against a task that nobody places again: no owner took tasks when it
+// was lost, while another one of its job was assigned.
+BOOST_AUTO_TEST_CASE(ATaskLostWhileNoOwnerTakesTasksIsPlacedLater) {
+  coordinator_.OwnerLoadReported({"near"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const auto assigns = All<SendAssign>();
+  BOOST_REQUIRE(assigns.size() == 1U);
+  OwnerLoad draining = Load({});
+  draining.draining_ = true;
+  coordinator_.OwnerLoadReported({"near"}, "west", draining);
+  End(assigns[0], 0, TaskEnd::kLost);
+  End(assigns[0], 1, TaskEnd::kDone);
+  coordinator_.OwnerLoadReported({"far"}, "east", Load({{32000, 1000, 0}}));
+  coordinator_.Tick(now_, &out_);
+  BOOST_REQUIRE(All<SendAssign>().size() == 2U);
+  End(All<SendAssign>()[1], 0, TaskEnd::kDone);
+  BOOST_TEST((Answer() == HostedJobOutcome::kComplete));
+}
+
+// The same while no owner comes: the caller waits for nothing.
+BOOST_AUTO_TEST_CASE(AJobWhoseTasksNobodyTakesIsAnswered) {
+  coordinator_.OwnerLoadReported({"near"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 2));
+  const auto assigns = All<SendAssign>();
+  BOOST_REQUIRE(assigns.size() == 1U);
+  OwnerLoad draining = Load({});
+  draining.draining_ = true;
+  coordinator_.OwnerLoadReported({"near"}, "west", draining);
+  End(assigns[0], 0, TaskEnd::kLost);
+  End(assigns[0], 1, TaskEnd::kDone);
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST((Answer() == HostedJobOutcome::kTimedOut));
+  BOOST_TEST(coordinator_.idle());
+}
+
 // Guards against starts for a job that is being given up, and whose tasks have
 // been cancelled elsewhere.
 BOOST_AUTO_TEST_CASE(AnAbandonedJobNoLongerAwaitsRoom) {
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -75,6 +75,22 @@
   BOOST_TEST(ParseCallerRequest({}, nullptr).reply_.status_ == 503);
 }
 
+// Guards against a valid job that is refused for good: its queue came after its
+// head had been read, and its body was discarded.
+BOOST_AUTO_TEST_CASE(AJobWhoseQueueCameAfterItsHeadMayBeSentAgain) {
+  CallerRequest request;
+  request.method_ = "POST";
+  request.path_ = "/case/5c0e7a21d94b36f8";
+  request.fields_ = {{"Host", "desk.example"}, {"Content-Length", "120"}};
+  const QueueTable before;
+  BOOST_REQUIRE(!UsesBody(request, &before));
+  BOOST_TEST(ParseCallerRequest(request, &table_).reply_.status_ == 503);
+  request.fields_[1] = {"Transfer-Encoding", "chunked"};
+  BOOST_TEST(ParseCallerRequest(request, &table_).reply_.status_ == 503);
+  request.fields_[1] = {"Content-Length", "0"};
+  BOOST_TEST(ParseCallerRequest(request, &table_).reply_.status_ == 400);
+}
+
 BOOST_AUTO_TEST_CASE(RefusalsCarryRetryAfterInSeconds) {
   const HttpReply reply =
       ToReply({{1}, HostedJobOutcome::kNotRun, "overloaded", {1200}, {}, {}});
