Answer every request of a job that was sent again

A request with the id of an open job took the place of the earlier one, which the instance then forgot: if its connection was open still, it got no answer, not even at its deadline, and its `received` line no outcome.

A job now keeps all its requests, and each gets its answer. The job ends when the latest connection does, as before: a caller awaits it there, and the end of an earlier one says nothing. It ends at the earliest deadline of its requests: a later request with a shorter one was answered only at that of the first.

New for the design: AJobSentAgainEndsWithItsLatestConnection and AJobSentAgainEndsAtTheEarliestDeadline.

--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -170,11 +170,12 @@
   const HostedJob& spec = submit.job_;
   const auto existing = jobs_by_id_.find(spec.id_);
   if (existing != jobs_by_id_.end()) {
-    // The caller sent the job again before this instance noticed that the first
-    // connection was lost. The answer goes to the new request.
+    // The caller sent the job again before this instance noticed that the
+    // earlier connection was lost, if it was.
     Job& job = jobs_[existing->second];
-    jobs_by_request_.erase(job.request_.value_);
-    job.request_ = submit.request_;
+    job.requests_.push_back(submit.request_);
+    job.deadline_ =
+        std::min(job.deadline_, now - submit.waited_ + spec.deadline_);
     jobs_by_request_[submit.request_.value_] = existing->second;
     out->push_back(JobRejoined{spec.id_, now - job.accepted_});
     return;
@@ -236,10 +237,11 @@
   }
   const uint64_t id = ++last_job_;
   Job& job = jobs_[id];
-  job.request_ = submit.request_;
+  job.requests_ = {submit.request_};
   job.by_owners_ = by_owners;
   job.spec_ = std::make_shared<const HostedJob>(spec);
   job.accepted_ = now - submit.waited_;
+  job.deadline_ = job.accepted_ + spec.deadline_;
   for (const HostedJobStep& step : spec.steps_) {
     job.steps_.emplace_back(step.count_);
     job.remaining_.push_back(step.count_);
@@ -438,13 +440,13 @@
       ++stats_.timed_out_;
       break;
   }
-  if (job.request_.valid()) {
-    const Duration slack = Slack(*job.spec_);
-    out->push_back(AnswerHostedJob{job.request_, outcome, reason,
+  const Duration slack = Slack(*job.spec_);
+  for (const RequestId request : job.requests_) {
+    out->push_back(AnswerHostedJob{request, outcome, reason,
                                    RetryAfter(job.expected_wait_, slack),
                                    job.expected_wait_, slack});
+    jobs_by_request_.erase(request.value_);
   }
-  jobs_by_request_.erase(job.request_.value_);
   jobs_by_id_.erase(job.spec_->id_);
   awaiting_room_.erase({job.spec_->band_, id});
   jobs_.erase(found);
@@ -454,12 +456,15 @@
                         CoordinatorOutbox* out) {
   const auto found = jobs_by_request_.find(gone.request_.value_);
   if (found == jobs_by_request_.end()) return;
-  ++stats_.caller_disconnected_;
   const uint64_t id = found->second;
   Job& job = jobs_[id];
-  CancelAssigned(&job, now, out);
-  job.request_ = RequestId{};
+  const bool latest = job.requests_.back() == gone.request_;
+  std::erase(job.requests_, gone.request_);
   jobs_by_request_.erase(found);
+  // A caller that has sent the job again awaits it on its latest connection.
+  if (!latest) return;
+  ++stats_.caller_disconnected_;
+  CancelAssigned(&job, now, out);
   Finish(id, HostedJobOutcome::kInterrupted, "caller-gone", out);
 }
 
@@ -544,7 +549,7 @@
                 [now](const auto& entry) { return now >= entry.second; });
   std::vector<uint64_t> expired;
   for (const auto& [id, job] : jobs_) {
-    if (now >= job.accepted_ + job.spec_->deadline_) expired.push_back(id);
+    if (now >= job.deadline_) expired.push_back(id);
   }
   for (const uint64_t id : expired) {
     CancelAssigned(&jobs_[id], now, out);
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -240,9 +240,12 @@
   };
 
   struct Job {
-    RequestId request_;
+    /// All get the answer. The job goes on while the latest one, which comes
+    /// last, is connected.
+    std::vector<RequestId> requests_;
     std::shared_ptr<const HostedJob> spec_;
     Time accepted_;
+    Time deadline_;            ///< The earliest one of its requests.
     bool by_owners_ = false;   ///< Owners accept or refuse its batches.
     bool started_ = false;     ///< Whether any task may have started.
     bool abandoned_ = false;   ///< Ends once owners report all assigned tasks.
@@ -386,7 +389,7 @@
   void CancelAssigned(Job* job, Time now, CoordinatorOutbox* out);
   void Refuse(RequestId request, std::string_view reason, Duration wait,
               Duration slack, CoordinatorOutbox* out);
-  /// Answers the caller, if it is still connected, and removes the job.
+  /// Answers all requests that await the job, and removes it.
   void Finish(uint64_t id, HostedJobOutcome outcome, std::string_view reason,
               CoordinatorOutbox* out);
   /// Cancels all tasks; the job ends once their owners have reported them.
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -318,12 +318,51 @@
 
 BOOST_AUTO_TEST_CASE(JoinsAJobSubmittedAgainWhileItRuns) {
   coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
-  Submit(Job("a", 1));
+  const RequestId first = Submit(Job("a", 1));
   const RequestId again = Submit(Job("a", 1));
   BOOST_TEST(All<SendAssign>().size() == 1U);
   End(All<SendAssign>()[0], 0, TaskEnd::kDone);
-  BOOST_TEST((Answer() == HostedJobOutcome::kComplete));
-  BOOST_TEST((All<AnswerHostedJob>()[0].request_ == again));
+  const auto answers = All<AnswerHostedJob>();
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST((answers[0].request_ == first));
+  BOOST_TEST((answers[1].request_ == again));
+  for (const AnswerHostedJob& answer : answers) {
+    BOOST_TEST((answer.outcome_ == HostedJobOutcome::kComplete));
+  }
+  BOOST_TEST(coordinator_.idle());
+}
+
+// The caller sends a job again on a new connection and may close the earlier
+// one only then.
+BOOST_AUTO_TEST_CASE(AJobSentAgainEndsWithItsLatestConnection) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  const RequestId first = Submit(Job("a", 1));
+  const RequestId second = Submit(Job("a", 1));
+  const RequestId third = Submit(Job("a", 1));
+  coordinator_.On(CallerDisconnected{first}, now_, &out_);
+  BOOST_TEST(All<SendCancel>().empty());
+  coordinator_.On(CallerDisconnected{third}, now_, &out_);
+  BOOST_TEST(All<SendCancel>().size() == 1U);
+  BOOST_TEST((Answer() == HostedJobOutcome::kInterrupted));
+  BOOST_TEST((All<AnswerHostedJob>()[0].request_ == second));
+  BOOST_TEST(coordinator_.idle());
+}
+
+// Guards against a caller that is answered only at the later deadline of the
+// request that came first.
+BOOST_AUTO_TEST_CASE(AJobSentAgainEndsAtTheEarliestDeadline) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  Submit(Job("a", 1));
+  now_ = now_ + Duration{300};
+  HostedJob again = Job("a", 1);
+  again.deadline_ = {900};
+  Submit(again, /*waited=*/Duration{100});
+  now_ = now_ + Duration{799};
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST(All<AnswerHostedJob>().empty());
+  now_ = now_ + Duration{1};
+  coordinator_.Tick(now_, &out_);
+  BOOST_TEST(All<AnswerHostedJob>().size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(StartsAStepOnlyAfterItsDependencies) {
