Refuse jobs while a drained process ends

Once a drained instance withdraws its record, it waits only for the store's answer, up to 400 ms after the drain limit. Jobs that came on kept connections meanwhile were accepted and placed, and their connections cut at the exit without an answer.

They are refused (429, "stopping") from the withdrawal on: nothing of them runs. The loop ends at the tick after the store's answer rather than in its callback, so that the last answers are sent first.

--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -601,14 +601,16 @@
     }
     const bool finished =
         coordinator_.idle() && scheduler_.idle() && ownership_.released();
-    if (withdrawal_started_ && age >= init_.drain_limit_ + kWithdrawalTimeout) {
+    // Not before a tick, so that answers given until now are sent.
+    if (withdrawal_started_ &&
+        (record_removed_ || age >= init_.drain_limit_ + kWithdrawalTimeout)) {
       event_base_loopexit(base_, nullptr);
     }
     if (withdrawal_started_ || (!finished && !drain_timed_out_)) return;
     withdrawal_started_ = true;
+    coordinator_.StopAccepting();
     spdlog::info("event=stopped cut={}", drain_timed_out_);
-    backend_->RemoveRecord(
-        [base = base_] { event_base_loopexit(base, nullptr); });
+    backend_->RemoveRecord([this] { record_removed_ = true; });
   }
 
   std::string Explain(const HostedJob& job) const {
@@ -687,6 +689,7 @@
   bool listening_stopped_ = false;
   bool drain_timed_out_ = false;
   bool withdrawal_started_ = false;
+  bool record_removed_ = false;
   /// After a stall, until what arrived meanwhile has been read.
   bool catching_up_ = false;
 };
--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -168,6 +168,7 @@
                         CoordinatorOutbox* out) {
   ++stats_.jobs_;
   const HostedJob& spec = submit.job_;
+  if (!accepts_) return Refuse(submit.request_, "stopping", {}, {}, out);
   const auto existing = jobs_by_id_.find(spec.id_);
   if (existing != jobs_by_id_.end()) {
     // The caller sent the job again before this instance noticed that the
--- a/src/job_coordinator.h
+++ b/src/job_coordinator.h
@@ -173,6 +173,9 @@
   void On(const InstanceName& owner, const BatchRefused& refused, Time now,
           CoordinatorOutbox* out);
 
+  /// Refuses all further jobs: the process ends before they could.
+  void StopAccepting() { accepts_ = false; }
+
   /// Returns the ids of jobs that have been open for so long that their callers
   /// may be about to submit them elsewhere, and of those given up that may
   /// still have runs.
@@ -400,6 +403,7 @@
   InstanceName self_;
   std::string data_centre_;
   LinkRate link_rate_;
+  bool accepts_ = true;
   uint64_t last_job_ = 0;
   uint64_t last_serial_ = 0;
   uint64_t last_report_ = 0;
