Don't send on a kept connection whose end is unread

An idle connection was taken for the next request without a look at its socket. If its server had closed it and the event loop hadn't read that yet, because the process was late or because the tick runs before the sockets are read, the request went out to nobody. The start of a task then counted as one that may run: an owner of leased workers had to list and stop it before it could go on, a call of the store failed, and `serve` told the caller that its task may have run.

Both HTTP clients now skip an idle connection whose other side has closed or reset it, with `HasPeerClosed`, which the server of callers uses already. It costs one poll(2) per request on a kept connection. A close that is still on its way can't be seen; such a request stays uncertain (ResetOfReusedConnectionIsUncertainAndNotRetried).

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -121,10 +121,12 @@
 
 evhttp_connection* HttpClient::TakeConnection(const Address& to) {
   std::vector<evhttp_connection*>& idle = idle_[to];
-  if (!idle.empty()) {
+  while (!idle.empty()) {
     evhttp_connection* connection = idle.back();
     idle.pop_back();
-    return connection;
+    // The event loop may not have read yet that the server has closed it.
+    if (!HasPeerClosed(Descriptor(connection))) return connection;
+    FreeLater(connection);
   }
   evhttp_connection* connection =
       evhttp_connection_base_new(base_, nullptr, to.host_.c_str(), to.port_);
--- a/src/worker_client.cc
+++ b/src/worker_client.cc
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "caller_request.h"
+#include "socket_address.h"
 
 namespace gentiandeal {
 namespace {
@@ -53,6 +54,10 @@
          !HeaderValue(fields, "Transfer-Encoding").empty();
 }
 
+evutil_socket_t Descriptor(evhttp_connection* connection) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+}
+
 TaskAnswer TakeAnswer(evhttp_request* response) {
   TaskAnswer answer;
   answer.status_ =
@@ -171,10 +176,14 @@
 
   Connection* AcquireConnection(const Address& address) {
     Pool& pool = pools_[address];
-    if (!pool.idle_.empty()) {
+    while (!pool.idle_.empty()) {
       Connection* connection = &pool.idle_.front();
-      pool.idle_.pop_front();
-      return connection;
+      // The event loop may not have read yet that the worker has closed it.
+      if (!HasPeerClosed(Descriptor(connection->handle_))) {
+        pool.idle_.pop_front();
+        return connection;
+      }
+      Discard(connection);
     }
     if (pool.open_ >= limits_.max_connections_) return nullptr;
     ++pool.open_;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -190,6 +190,41 @@
   BOOST_TEST(RunUntil(base.get(), [&] { return accept_all() == 4; }));
 }
 
+// Guards against a start that goes onto a connection whose end lies unread, and
+// counts as one that may run.
+BOOST_AUTO_TEST_CASE(SendsNothingOnAConnectionWhoseEndIsUnread) {
+  const EventBase base(event_base_new());
+  HttpClient client(base.get());
+  TestListener listener;
+  std::unique_ptr<TestSocket> socket;
+  std::optional<HttpResponse> response;
+  const auto send = [&] {
+    response.reset();
+    client.Send(listener.address(), {"POST", "/start", {}, "body"},
+                kCallTimeout,
+                [&](const HttpResponse& ended) { response = ended; });
+  };
+  const auto answer_on_new_connection = [&] {
+    socket.reset();
+    return RunUntil(base.get(), [&] {
+      if (!socket) socket = listener.Accept();
+      if (socket) socket->ReadAvailable();
+      if (socket && socket->received().find("body") != std::string::npos) {
+        socket->Clear();
+        socket->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      }
+      return response.has_value();
+    });
+  };
+  send();
+  BOOST_REQUIRE(answer_on_new_connection());
+  BOOST_REQUIRE(response->complete_);
+  socket->Close();
+  send();
+  BOOST_REQUIRE(answer_on_new_connection());
+  BOOST_TEST(response->complete_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/worker_client_test.cc
+++ b/tests/unit/worker_client_test.cc
@@ -114,6 +114,21 @@
   BOOST_TEST((worker_.Accept() == nullptr));
 }
 
+// Guards against a task that goes onto a connection whose end lies unread, and
+// counts as one that may have run.
+BOOST_AUTO_TEST_CASE(SendsNothingOnAConnectionWhoseEndIsUnread) {
+  Start(worker_.address());
+  const auto earlier = TakeRequest();
+  earlier->Send(kCompleteAnswer);
+  TakeEnd();
+  earlier->Close();
+  Start(worker_.address());
+  const auto later = TakeRequest();
+  later->Send(kCompleteAnswer);
+  BOOST_TEST((TakeEnd().result_ == AttemptResult::kAnswered));
+  BOOST_TEST(client_.connections() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(TruncatedOrMalformedAnswerIsUncertain) {
   for (const char* truncated :
        {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "HTTP/1.1 20",
