Read what came in time before an HTTP call times out

The calls to leased workers and to the store ended by libevent's timeouts. These sit on the events of the socket itself: when the timeout is due in the pass of the event loop that finds the answer, libevent takes the event back and delivers the timeout alone. An exchange thus failed as soon as the process had been late for longer than the rest of its time, although the answer had arrived within milliseconds and lay in the socket: after 250 ms for starts and stops, 350 ms for polls (no lease is renewed by the first poll after a failed one), 400 ms for watches of the store. A connection that was up in time was given up in the same way, and a refusal that was read late counted as a silent worker, since the cause was told by the time alone.

Each exchange has a timer of its own now, started again with each part that is sent or received. When it ends, it looks at the socket, and waits for the event loop if there is something to read, to connect or to send. The cause of a failure is told by what happened: whether anything was sent, and whether libevent reported an error.

Three tests of `http_client` failed before, two runs of two, and pass now: AnAnswerThatCameInTimeIsReadHoweverLate (new connection and kept one), AConnectionThatWasUpInTimeCarriesItsRequest, ARefusalThatIsReadLateIsNoTimeout. The suites `http_client` and `worker_client` passed ten runs of ten. The cost per call (a timer, two buffer callbacks) wasn't measured.

Ruled out: a longer time limit, which would only move the fault, and would hold a silent worker for longer.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <poll.h>
 #include <string.h>
 #include <strings.h>
 
@@ -17,6 +18,11 @@
 /// The same as servers' timeout of idle connections.
 constexpr timeval kIdleTimeout{60, 0};
 constexpr timeval kAtOnce{0, 0};
+/// Exchanges end by their own timer. libevent's timeouts discard the readiness
+/// of a socket that is found in the same pass of the event loop.
+constexpr timeval kLibraryTimeout{24 * 3600, 0};
+/// Until a timer looks again at a socket that the event loop hasn't dealt with.
+constexpr timeval kRecheckInterval{0, 5 * 1000};
 
 evhttp_cmd_type ParseMethod(std::string_view method) {
   constexpr std::pair<std::string_view, evhttp_cmd_type> kMethods[] = {
@@ -145,29 +151,31 @@
   exchange.connection_ = TakeConnection(to);
   exchange.done_ = std::move(done);
   exchange.connects_ = Descriptor(exchange.connection_) < 0;
-  exchange.sent_at_ = clock_.Now();
   exchange.timeout_ = timeout;
   exchange.request_ = evhttp_request_new(&HttpClient::OnDone, &exchange);
+  // libevent reports errors of open connections only.
   evhttp_request_set_error_cb(
-      exchange.request_, [](evhttp_request_error error, void* arg) {
-        static_cast<Exchange*>(arg)->failure_ =
-            error == EVREQ_HTTP_TIMEOUT ? HttpFailure::kTimeout
-                                        : HttpFailure::kDisconnected;
+      exchange.request_, [](evhttp_request_error /*error*/, void* arg) {
+        static_cast<Exchange*>(arg)->failure_ = HttpFailure::kDisconnected;
       });
   FillRequest(to, request, exchange.request_);
   ++traffic_.requests_;
   traffic_.bytes_sent_ +=
       kFirstLineBytes + request.path_.size() + request.body_.size() +
       FieldBytes(evhttp_request_get_output_headers(exchange.request_));
-  const timeval wait = ToTimeval(timeout);
-  evhttp_connection_set_timeout_tv(exchange.connection_, &wait);
+  evhttp_connection_set_timeout_tv(exchange.connection_, &kLibraryTimeout);
+  StartTimer(&exchange);
   exchange.sending_ = true;
   const int error =
       evhttp_make_request(exchange.connection_, exchange.request_,
                           ParseMethod(request.method_), request.path_.c_str());
   exchange.sending_ = false;
   if (error != 0) exchange.request_ = nullptr;
-  if (exchange.request_ == nullptr) FailLater(id);
+  if (exchange.request_ == nullptr) {
+    exchange.failure_ = HttpFailure::kRefused;
+    event_del(exchange.timer_);
+    FailLater(id);
+  }
   return id;
 }
 
@@ -189,24 +197,81 @@
   }
 }
 
-// libevent reports errors of open connections only.
-HttpFailure HttpClient::FailureOf(const Exchange& exchange) const {
-  if (exchange.failure_ != HttpFailure::kNone) return exchange.failure_;
-  return clock_.Now() - exchange.sent_at_ < exchange.timeout_
-             ? HttpFailure::kRefused
-             : HttpFailure::kConnectTimeout;
+void HttpClient::StartTimer(Exchange* exchange) {
+  bufferevent* buffer =
+      evhttp_connection_get_bufferevent(exchange->connection_);
+  evbuffer_add_cb(bufferevent_get_input(buffer), &OnInput, exchange);
+  evbuffer_add_cb(bufferevent_get_output(buffer), &OnOutput, exchange);
+  exchange->timer_ = evtimer_new(base_, &OnTimeout, exchange);
+  RestartTimer(exchange);
+}
+
+void HttpClient::RestartTimer(Exchange* exchange) {
+  const timeval wait = ToTimeval(exchange->timeout_);
+  event_add(exchange->timer_, &wait);
+}
+
+void HttpClient::StopTimer(Exchange* exchange) {
+  bufferevent* buffer =
+      evhttp_connection_get_bufferevent(exchange->connection_);
+  evbuffer_remove_cb(bufferevent_get_input(buffer), &OnInput, exchange);
+  evbuffer_remove_cb(bufferevent_get_output(buffer), &OnOutput, exchange);
+  event_free(exchange->timer_);
+}
+
+void HttpClient::OnInput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                         void* arg) {
+  if (info->n_added > 0) RestartTimer(static_cast<Exchange*>(arg));
+}
+
+void HttpClient::OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                          void* arg) {
+  if (info->n_deleted == 0) return;
+  auto* exchange = static_cast<Exchange*>(arg);
+  exchange->any_byte_sent_ = true;
+  RestartTimer(exchange);
+}
+
+/// Whether the event loop has something to read, or can go on with connecting
+/// or sending.
+bool HttpClient::IsReady(const Exchange& exchange) {
+  bufferevent* buffer = evhttp_connection_get_bufferevent(exchange.connection_);
+  pollfd wanted{bufferevent_getfd(buffer), POLLIN, 0};
+  if (!exchange.any_byte_sent_ ||
+      evbuffer_get_length(bufferevent_get_output(buffer)) > 0) {
+    wanted.events |= POLLOUT;
+  }
+  return poll(&wanted, 1, 0) > 0;
+}
+
+void HttpClient::OnTimeout(evutil_socket_t /*fd*/, int16_t /*what*/,
+                           void* arg) {
+  auto* exchange = static_cast<Exchange*>(arg);
+  if (IsReady(*exchange)) {
+    event_add(exchange->timer_, &kRecheckInterval);
+    return;
+  }
+  const bool unsent = exchange->connects_ && !exchange->any_byte_sent_;
+  evhttp_cancel_request(std::exchange(exchange->request_, nullptr));
+  exchange->failure_ =
+      unsent ? HttpFailure::kConnectTimeout : HttpFailure::kTimeout;
+  OnDone(nullptr, exchange);
 }
 
 void HttpClient::OnDone(evhttp_request* request, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
   HttpClient* self = exchange->client_;
   if (exchange->sending_) {
-    exchange->request_ = nullptr;
-    exchange->failure_ = HttpFailure::kRefused;  // to be reported later
+    exchange->request_ = nullptr;  // to be reported later
     return;
   }
   HttpResponse response = ReadResponse(request);
-  if (!response.complete_) response.failure_ = self->FailureOf(*exchange);
+  if (!response.complete_) {
+    response.failure_ = exchange->failure_ == HttpFailure::kNone
+                            ? HttpFailure::kRefused
+                            : exchange->failure_;
+  }
+  StopTimer(exchange);
   self->traffic_.bytes_received_ += ResponseBytes(response);
   if (CanReuseConnection(response)) {
     // Otherwise libevent would close the idle connection after the timeout of
@@ -239,6 +304,7 @@
 void HttpClient::Cancel(ExchangeId id) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
+  StopTimer(&found->second);
   if (found->second.request_ != nullptr) {
     evhttp_cancel_request(found->second.request_);
   }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -12,6 +12,8 @@
 
 #include "gentiandeal_p.h"
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -71,7 +73,8 @@
   /// Sends a request on an idle or a new connection.
   ///
   /// @param timeout Longest time without progress: for the response to start,
-  /// or between two parts of it.
+  /// or between two parts of it. What has arrived by then counts, even if this
+  /// process is late and hasn't read it.
   /// @param done Called once from the event loop unless cancelled before.
   ExchangeId Send(const Address& to, const HttpRequest& request,
                   Duration timeout, Done done);
@@ -91,18 +94,26 @@
     Address to_;
     evhttp_connection* connection_ = nullptr;
     evhttp_request* request_ = nullptr;
+    event* timer_ = nullptr;  ///< Since the last progress.
     Done done_;
-    bool connects_ = false;  ///< Its connection wasn't open before.
-    bool sending_ = false;   ///< `Send` hasn't returned yet.
-    Time sent_at_;
+    bool connects_ = false;       ///< Its connection wasn't open before.
+    bool sending_ = false;        ///< `Send` hasn't returned yet.
+    bool any_byte_sent_ = false;  ///< Of the request.
     Duration timeout_;
-    /// How libevent reported that an open connection failed.
     HttpFailure failure_ = HttpFailure::kNone;
   };
 
   static void OnDone(evhttp_request* request, void* arg);
+  static void OnInput(evbuffer* buffer, const evbuffer_cb_info* info,
+                      void* arg);
+  static void OnOutput(evbuffer* buffer, const evbuffer_cb_info* info,
+                       void* arg);
+  static void OnTimeout(evutil_socket_t fd, int16_t what, void* arg);
   static void OnDeferred(evutil_socket_t fd, int16_t what, void* arg);
-  HttpFailure FailureOf(const Exchange& exchange) const;
+  void StartTimer(Exchange* exchange);
+  static void RestartTimer(Exchange* exchange);
+  static void StopTimer(Exchange* exchange);
+  static bool IsReady(const Exchange& exchange);
   evhttp_connection* TakeConnection(const Address& to);
   /// Closes the idle connections to an address.
   void DropIdle(const Address& to);
@@ -112,7 +123,6 @@
 
   event_base* base_;
   event* deferred_;  ///< Deals with `closing_` and `failed_`.
-  MonotonicClock clock_;
   ExchangeId next_id_ = 1;
   HttpTraffic traffic_;
   std::map<ExchangeId, Exchange> exchanges_;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr Duration kCallTimeout{100};
+constexpr useconds_t kAfterTimeoutUs = 150 * 1000;
 /// A connection request that wasn't answered is repeated by the kernel after
 /// one second.
 constexpr timeval kAfterRepeats{1, 500 * 1000};
@@ -225,6 +226,70 @@
   BOOST_TEST(response->complete_);
 }
 
+// Guards against calls that fail, and leases that aren't renewed, because this
+// process was late to read answers that had come in time.
+BOOST_AUTO_TEST_CASE(AnAnswerThatCameInTimeIsReadHoweverLate) {
+  const EventBase base(event_base_new());
+  HttpClient client(base.get());
+  TestListener listener;
+  std::unique_ptr<TestSocket> socket;
+  std::optional<HttpResponse> response;
+  for (const char* connection : {"new", "kept"}) {
+    response.reset();
+    client.Send(listener.address(), {"POST", "/poll", {}, "body"}, kCallTimeout,
+                [&](const HttpResponse& ended) { response = ended; });
+    BOOST_REQUIRE(RunUntil(base.get(), [&] {
+      if (!socket) socket = listener.Accept();
+      if (socket) socket->ReadAvailable();
+      return socket && socket->received().find("body") != std::string::npos;
+    }));
+    socket->Clear();
+    socket->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    usleep(kAfterTimeoutUs);
+    BOOST_REQUIRE(RunUntil(base.get(), [&] { return response.has_value(); }));
+    BOOST_TEST_CONTEXT(connection) {
+      BOOST_TEST(response->body_ == "ok");
+      BOOST_TEST((response->failure_ == HttpFailure::kNone));
+    }
+  }
+}
+
+// Guards against a start that is given up because this process was late to see
+// that its connection was up.
+BOOST_AUTO_TEST_CASE(AConnectionThatWasUpInTimeCarriesItsRequest) {
+  const EventBase base(event_base_new());
+  HttpClient client(base.get());
+  TestListener listener;
+  std::unique_ptr<TestSocket> socket;
+  std::optional<HttpResponse> response;
+  client.Send(listener.address(), {"POST", "/start", {}, "body"}, kCallTimeout,
+              [&](const HttpResponse& ended) { response = ended; });
+  usleep(kAfterTimeoutUs);
+  BOOST_TEST(RunUntil(base.get(), [&] {
+    if (!socket) socket = listener.Accept();
+    if (socket) socket->ReadAvailable();
+    return response ||
+           (socket && socket->received().find("body") != std::string::npos);
+  }));
+  BOOST_TEST(!response.has_value());
+}
+
+// Guards against a worker whose process is gone and that is taken for a silent
+// one, because the refusal is read late.
+BOOST_AUTO_TEST_CASE(ARefusalThatIsReadLateIsNoTimeout) {
+  const EventBase base(event_base_new());
+  HttpClient client(base.get());
+  TestListener listener;
+  const Address nobody = listener.address();
+  listener.Close();
+  std::optional<HttpResponse> response;
+  client.Send(nobody, {"POST", "/poll", {}, "body"}, kCallTimeout,
+              [&](const HttpResponse& ended) { response = ended; });
+  usleep(kAfterTimeoutUs);
+  BOOST_REQUIRE(RunUntil(base.get(), [&] { return response.has_value(); }));
+  BOOST_TEST((response->failure_ == HttpFailure::kRefused));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
