Bind what an entry says to one incarnation of a worker

`On(PollEnded)` learnt from `born` that another incarnation answered and copied all that was known of the one before; the new entry was read up to 1 s later.

An entry now describes the incarnation that it names. After a list has shown another one, labels, capacity, warm-up and leaving are unknown until its entry is read. The last entry is kept whichever incarnation it is of, so that one that was read before its incarnation answered counts once it does. An ejection ends with its incarnation as well, and runs that were sent to it tell no speed of the next one.

Nothing starts on an undescribed worker. To start unlabelled tasks within a lower bound of its capacity was weighed: no such bound is told, as another kind may be smaller than any of its pool. The price is a worker that stands idle while the store is away. To shorten the wait, the owner makes its watch call of the entries each 0.1 s instead of each 1 s as long as it has such a worker; a failed call is repeated no sooner.

Logs: `kind` of `worker-restarted`, `worker-kind-known`. Metric: `workers_of_unknown_kind`.

The simulated world lets restarted workers be of another kind and size (`kinds`).

`PollsOutweighAnEntryOfAnUnknownEarlierIncarnation` took for granted that a worker is used without the entry of its present incarnation. It now checks that nothing starts before that is read, and a start after.

Not closed: a start on its way during the restart, or carried out late, reaches the new incarnation, since no order names it.

--- a/src/hosted_backend.h
+++ b/src/hosted_backend.h
@@ -60,6 +60,7 @@
   { backend.workers_age(now) } -> std::same_as<Duration>;
   {backend.SetWorkersFollowed(true)};
   {backend.SampleWorkersSoon()};
+  {backend.WatchWorkersSoon()};
   { backend.follows_workers() } -> std::same_as<bool>;
   { backend.traffic() } -> std::same_as<BackendTraffic>;
 };
--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -536,6 +536,7 @@
   void FollowWorkers() {
     backend_->SetWorkersFollowed(ownership_.needs_current_workers());
     ownership_.SetWorkersCurrent(backend_->follows_workers());
+    if (scheduler_.undescribed_workers() > 0) backend_->WatchWorkersSoon();
     if (ownership_.near_owners_version() == sampled_owners_) return;
     sampled_owners_ = ownership_.near_owners_version();
     backend_->SampleWorkersSoon();
@@ -640,7 +641,8 @@
     return metrics_.ToText(
         coordinator_.stats(), scheduler_.stats(), mesh_.stats(),
         backend_->traffic(),
-        {coordinator_.open_jobs(), ownership_.owned(), connected_owners_.size(),
+        {coordinator_.open_jobs(), ownership_.owned(),
+         scheduler_.undescribed_workers(), connected_owners_.size(),
          scheduler_.evacuated_data_centres(), draining_});
   }
 
--- a/src/hosted_log.cc
+++ b/src/hosted_log.cc
@@ -91,9 +91,14 @@
 }
 
 void Log(const WorkerRestarted& worker) {
-  spdlog::warn("event=worker-restarted worker={} from={} to={} runs={}",
+  spdlog::warn("event=worker-restarted worker={} from={} to={} runs={} kind={}",
                worker.worker_.value_, worker.from_ms_, worker.to_ms_,
-               worker.runs_);
+               worker.runs_, worker.described_ ? "known" : "unknown");
+}
+
+void Log(const WorkerDescribed& worker) {
+  spdlog::info("event=worker-kind-known worker={} born={} unknown_ms={}",
+               worker.worker_.value_, worker.started_ms_, worker.after_.ms_);
 }
 
 void Log(const WorkerSpeedChanged& worker) {
--- a/src/hosted_log.h
+++ b/src/hosted_log.h
@@ -25,6 +25,7 @@
 void Log(const PollFailed& poll);
 void Log(const LossesCharged& charged);
 void Log(const WorkerRestarted& worker);
+void Log(const WorkerDescribed& worker);
 void Log(const WorkerSpeedChanged& worker);
 void Log(const PublishRecord& publish);
 void Log(const EvacuationUpdate& update);
--- a/src/hosted_metrics.cc
+++ b/src/hosted_metrics.cc
@@ -207,6 +207,7 @@
   AddClients(&families, backend.clients_);
   gauge("open_jobs", gauges.open_jobs_);
   gauge("owned_workers", gauges.owned_workers_);
+  gauge("workers_of_unknown_kind", gauges.undescribed_workers_);
   gauge("reachable_owners", gauges.reachable_owners_);
   gauge("evacuated_data_centres", gauges.evacuated_data_centres_);
   gauge("draining", gauges.draining_ ? 1 : 0);
--- a/src/hosted_metrics.h
+++ b/src/hosted_metrics.h
@@ -18,6 +18,7 @@
 struct HostedGauges {
   size_t open_jobs_ = 0;
   size_t owned_workers_ = 0;
+  size_t undescribed_workers_ = 0;
   size_t reachable_owners_ = 0;
   size_t evacuated_data_centres_ = 0;
   bool draining_ = false;
--- a/src/scheduler_commands.h
+++ b/src/scheduler_commands.h
@@ -118,6 +118,17 @@
   int64_t from_ms_ = 0;  ///< Start time of the incarnation known before.
   int64_t to_ms_ = 0;
   size_t runs_ = 0;  ///< Runs that were counted as using it.
+  /// Whether the entry of the present incarnation, and with it its kind, is
+  /// known.
+  bool described_ = true;
+};
+
+/// Tells that the entry of a worker's incarnation that was already known has
+/// been read, so that the worker can be used; for logs.
+struct WorkerDescribed {
+  WorkerId worker_;
+  int64_t started_ms_ = 0;
+  Duration after_;  ///< Since the incarnation is known.
 };
 
 /// Tells that a worker was lost while it ran tasks, so that no instance starts
@@ -152,8 +163,8 @@
 
 using SchedulerCommand =
     std::variant<StartRun, StopRun, PollWorker, ReportTask, ReportRefused,
-                 WorkerLost, RunOver, WorkerRestarted, PollFailed,
-                 LossesCharged, TasksEvacuated, WorkerSpeedChanged,
+                 WorkerLost, RunOver, WorkerRestarted, WorkerDescribed,
+                 PollFailed, LossesCharged, TasksEvacuated, WorkerSpeedChanged,
                  ReservationChanged>;
 using SchedulerOutbox = std::vector<SchedulerCommand>;
 
--- a/src/worker_scheduler.cc
+++ b/src/worker_scheduler.cc
@@ -11,9 +11,6 @@
 /// restarted meanwhile grants the longest lease, 100 ms more.
 constexpr Duration kLeaseOverrun{200};
 
-/// Earlier incarnations of a worker that are remembered.
-constexpr size_t kMaxEarlierIncarnations = 8;
-
 /// Workers answer a start within milliseconds. A start unanswered for this long
 /// is checked with a poll, and the run is stopped if it isn't listed.
 constexpr Duration kStartAnswerTimeout{60};
@@ -215,7 +212,8 @@
 }
 
 bool WorkerScheduler::InService(const Worker& worker) const {
-  return StartsAllowed(worker) && worker.confirmed_ && !worker.draining_ &&
+  return StartsAllowed(worker) && worker.confirmed_ &&
+         !worker.undescribed_since_ && !worker.draining_ &&
          !worker.info_->leaving_ &&
          worker.poll_failures_ < kPollFailuresToSuspend &&
          !worker.disconnected_ && !worker.unresponsive_ &&
@@ -231,6 +229,7 @@
   Worker& owned = workers_[worker.id_.value_];
   if (owned.info_ == nullptr) {
     owned.info_ = std::make_shared<const LeasedWorker>(worker);
+    owned.entry_ = owned.info_;
     owned.free_ = worker.capacity_;
   }
   owned.fence_ = fence;
@@ -241,60 +240,6 @@
   ++load_version_;
 }
 
-void WorkerScheduler::Update(const LeasedWorker& worker, Time now,
-                             SchedulerOutbox* out) {
-  Worker* owned = FindWorker(worker.id_.value_);
-  if (owned == nullptr || *owned->info_ == worker) return;
-  const auto& earlier = owned->earlier_incarnations_;
-  if (std::find(earlier.begin(), earlier.end(), worker.started_ms_) !=
-      earlier.end()) {
-    return;  // The store has not seen the present incarnation yet.
-  }
-  const LeasedWorkerRef before = owned->info_;
-  owned->info_ = std::make_shared<const LeasedWorker>(worker);
-  owned->free_ += worker.capacity_;
-  owned->free_ -= before->capacity_;
-  const bool restarted = before->started_ms_ != worker.started_ms_ &&
-                         before->started_ms_ != 0 && worker.started_ms_ != 0;
-  if (restarted) ChangeIncarnation(owned, before->started_ms_, now, out);
-  ++load_version_;
-  StartWaiting(now, out);
-}
-
-void WorkerScheduler::ChangeIncarnation(Worker* worker, int64_t earlier_ms,
-                                        Time now, SchedulerOutbox* out) {
-  ++stats_.workers_restarted_;
-  out->push_back(WorkerRestarted{worker->info_->id_, earlier_ms,
-                                 worker->info_->started_ms_,
-                                 worker->runs_.size()});
-  auto& earlier = worker->earlier_incarnations_;
-  earlier.push_back(earlier_ms);
-  if (earlier.size() > kMaxEarlierIncarnations) earlier.erase(earlier.begin());
-  worker->last_seen_ = 0;
-  ChargeLoss(worker, LossCause::kRestart, now, now, out);
-  worker->disconnected_ = worker->unresponsive_ = false;
-  worker->connection_ended_at_.reset();
-  worker->longest_lease_until_ = now + limits_.longest_lease_;
-  worker->incarnation_since_ = now;
-  worker->clock_known_ = false;
-  worker->confirmed_ = false;
-  worker->fenced_since_.reset();
-  worker->consecutive_failures_ = worker->ejections_ = 0;
-  worker->speed_ = {};
-  for (Run& run : worker->runs_) {
-    // Only lists of this incarnation count from now on.
-    if (run.start_seen_at_) run.start_seen_at_ = now;
-    run.missing_since_.reset();
-    run.stop_answered_at_.reset();
-    run.stop_answered_ = run.stop_pending_ = false;
-    run.next_stop_at_ = now;
-    run.start_valid_until_ms_ = 0;
-    run.start_expired_since_.reset();
-  }
-  StopVoidedStarts(worker, now, out);
-  SendPoll(worker, /*immediate=*/true, now, out);
-}
-
 void WorkerScheduler::DrainWorker(const WorkerId& worker) {
   Worker* owned = FindWorker(worker.value_);
   if (owned == nullptr || owned->draining_) return;
--- a/src/worker_scheduler.h
+++ b/src/worker_scheduler.h
@@ -155,8 +155,12 @@
   void Acquire(const LeasedWorker& worker, Fence fence, Time now,
                SchedulerOutbox* out);
 
-  /// Updates a worker from its changed platform entry.
-  void Update(const LeasedWorker& worker, Time now, SchedulerOutbox* out);
+  /// Updates a worker from its changed platform entry, which describes one
+  /// incarnation of it.
+  void Update(const LeasedWorker& entry, Time now, SchedulerOutbox* out);
+  /// Number of workers that can't be used before the entry of their present
+  /// incarnation has been read.
+  size_t undescribed_workers() const;
 
   /// Starts no more tasks there, so that another owner can take the worker.
   void DrainWorker(const WorkerId& worker);
@@ -336,7 +340,12 @@
   };
 
   struct Worker {
+    /// What is known of the present incarnation: neither labels nor capacity
+    /// while it is undescribed.
     LeasedWorkerRef info_;
+    LeasedWorkerRef entry_;  ///< Last one read; may be of another incarnation.
+    /// Since when the present incarnation is known without its entry.
+    std::optional<Time> undescribed_since_;
     PoolPlan* plan_ = nullptr;  ///< Null until reservations are in use.
     PlanWorkerId plan_id_;
     std::optional<Resources> planned_;  ///< Capacity; absent: out of service.
@@ -416,6 +425,13 @@
   /// Returns whether a run for the session can have a lease there that is long
   /// enough to be renewed, and that ends in time if the session is lost.
   bool CanLease(const Worker& worker, SessionId session, Time now) const;
+  /// Takes note of the incarnation that has listed its runs.
+  void NoteIncarnation(Worker* worker, int64_t started_ms, Time now,
+                       SchedulerOutbox* out);
+  /// Replaces what is known of a worker. @returns whether that is about another
+  /// incarnation.
+  bool ReplaceInfo(Worker* worker, LeasedWorkerRef info, Time now,
+                   SchedulerOutbox* out);
   /// Starts to use the incarnation in `info_` in place of the one that started
   /// at `earlier_ms`. Runs are kept until lists show whether they ended with
   /// the earlier incarnation or were started on this one.
--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -169,12 +169,7 @@
       worker->info_->started_ms_ != ended.started_ms_) {
     // The answer may come from the previous incarnation.
     if (call.sent_ < worker->incarnation_since_) return;
-    // Whatever the store has listed since, this incarnation answers now.
-    std::erase(worker->earlier_incarnations_, ended.started_ms_);
-    LeasedWorker restarted = *worker->info_;
-    restarted.started_ms_ = ended.started_ms_;
-    Update(restarted, now, out);
-    if (worker->info_->started_ms_ != ended.started_ms_) return;
+    NoteIncarnation(worker, ended.started_ms_, now, out);
   }
   const uint64_t version = load_version_;
   const bool was_usable = Usable(*worker, now);
--- a/tests/schedule/hosted_schedule.cc
+++ b/tests/schedule/hosted_schedule.cc
@@ -87,7 +87,8 @@
       {"priorities", &HostedTroubles::priorities_},
       {"reservations", &HostedTroubles::reservations_},
       {"wide", &HostedTroubles::wide_},
-      {"answers", &HostedTroubles::answers_}};
+      {"answers", &HostedTroubles::answers_},
+      {"kinds", &HostedTroubles::kinds_}};
   std::istringstream stream(names);
   for (std::string name; std::getline(stream, name, ',');) {
     if (name == "all") {
@@ -159,7 +160,7 @@
       "troubles", po::value(&options.trouble_names_)->default_value("none"),
       "none, all, or some of "
       "holds,stalls,callers,requests,store,mutes,restarts,kept,deadly,"
-      "shrinks,priorities,reservations,wide,answers")(
+      "shrinks,priorities,reservations,wide,answers,kinds")(
       "seed", po::value(&options.first_seed_)->default_value(1), "first seed")(
       "seeds", po::value(&options.seeds_)->default_value(30), "their number")(
       "steps", po::value(&options.steps_)->default_value(2000))(
--- a/tests/unit/hosted_schedule_test.cc
+++ b/tests/unit/hosted_schedule_test.cc
@@ -221,6 +221,25 @@
   BOOST_TEST(seen.inherited_orders_ > 0U);
 }
 
+// Guards against starts by the labels and the resources that a worker had in
+// an earlier life (issue 42).
+BOOST_AUTO_TEST_CASE(RulesHoldWhileWorkersReturnAsAnotherKind) {
+  for (const uint64_t seed : {1, 2, 3}) {
+    const HostedWorld::Seen seen =
+        Play(seed, {.restarts_ = true, .kinds_ = true});
+    BOOST_TEST(seen.other_kinds_ > 10U);
+    BOOST_TEST(seen.complete_ > 50U);
+  }
+  Play(4, {.store_ = true, .restarts_ = true, .kinds_ = true});
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryToldAsOneOfALaterLifeIsCaught) {
+  const HostedTroubles kinds{.store_ = true, .restarts_ = true, .kinds_ = true};
+  for (const HostedRule rule : {HostedRule::kPlace, HostedRule::kRoom}) {
+    BOOST_TEST(BreaksInSomeSeed(rule, HostedBreakage::kKeepKind, kinds));
+  }
+}
+
 // Guards against a run whose stops get no answer after the loss of its caller
 // was noticed late.
 BOOST_AUTO_TEST_CASE(ALostCallersRunEndsThoughStopsAreUnanswered) {
--- a/tests/unit/hosted_world.h
+++ b/tests/unit/hosted_world.h
@@ -40,6 +40,9 @@
   kKeepCapacity,      ///< Owners aren't told of changes of resources.
   kFullLooksExpired,  ///< A task without room is told as expired.
   kForgetWithdrawal,  ///< A record isn't told that it is withdrawn.
+  /// An entry of a worker's earlier life is told as one of the life that a poll
+  /// has shown.
+  kKeepKind,
 };
 
 /// What must hold, named as the users' rules do.
@@ -101,6 +104,9 @@
   /// Calls by which instances keep their records are carried out and answered
   /// late, or their answers are lost, also after the withdrawal.
   bool answers_ = false;
+  /// Workers that restart under their identifier are of another kind then, with
+  /// other resources. With `restarts_` only.
+  bool kinds_ = false;
 
   bool any() const {
     return holds_ || stalls_ || callers_ || requests_ || store_ || mutes_ ||
@@ -165,6 +171,7 @@
     uint64_t quick_restarts_ = 0;
     uint64_t inherited_orders_ = 0;         ///< Accepted by a later life.
     uint64_t orders_of_earlier_lives_ = 0;  ///< Gone with that life.
+    uint64_t other_kinds_ = 0;  ///< Workers that are back as another kind.
     uint64_t crashes_by_tasks_ = 0;
     uint64_t failed_deadly_ = 0;  ///< Jobs whose tasks crash workers, failed.
     uint64_t shrunk_ = 0;
@@ -428,6 +435,7 @@
   void Do(size_t index, const RunOver& over);
   void Do(size_t index, const WorkerRestarted& worker);
   void Do(size_t, const WorkerSpeedChanged&) {}
+  void Do(size_t index, const WorkerDescribed& worker);
   void Do(size_t index, const LossesCharged& charged);
   void SendLosses(uint64_t id, Side to, const std::vector<TaskLosses>& losses);
   void ReadLosses(uint64_t id, Side side,
@@ -477,10 +485,13 @@
   bool InTouch(size_t index) const;
   void Disturb(size_t index, Time until);
   void Return(Worker* worker, bool under_its_id);
+  void BecomeOtherKind(Worker* worker);
+  /// Tells an owner the entry that it has read as one of another life.
+  void TellEntryAs(size_t index, const WorkerId& worker, int64_t started_ms);
   void List(const Worker& worker, std::optional<LeasedWorker> entry);
   bool Mute(const Worker& worker, bool poll);
   bool Accepts(const Worker& worker, const LeasedWorker& addressed, Time sent);
-  void CheckStart(const Worker& worker, const std::string& task, uint64_t order,
+  void CheckStart(const Worker& worker, const StartRun& start, uint64_t order,
                   size_t owner);
   void CheckCrashes(const std::string& task, size_t owner);
   void CheckFailed(const std::string& id);
--- a/tests/unit/hosted_world_workers.cc
+++ b/tests/unit/hosted_world_workers.cc
@@ -74,6 +74,11 @@
        instances_[index].name_.value_);
 }
 
+void HostedWorld::Do(size_t index, const WorkerDescribed& worker) {
+  Note("described ", worker.worker_.value_, " at ",
+       instances_[index].name_.value_);
+}
+
 void HostedWorld::Do(size_t index, const StartRun& start) {
   const uint64_t life = instances_[index].life_;
   const auto answer = [this, index, life, call = start.call_](
@@ -141,7 +146,7 @@
       (over != worker->over_.end() && start.run_ <= over->second)) {
     return StartResult::kOldRun;
   }
-  CheckStart(*worker, start.task_, order, owner);
+  CheckStart(*worker, start, order, owner);
   const CallerJob& job = jobs_[JobOf(start.task_)];
   const HostedJobStep& step = job.spec_.steps_[StepOf(start.task_)];
   WorkerRun run;
@@ -214,8 +219,12 @@
          now_ - instances_[index].undisturbed_since_ >= Duration{kContactMs};
 }
 
-void HostedWorld::CheckStart(const Worker& worker, const std::string& task,
+void HostedWorld::CheckStart(const Worker& worker, const StartRun& start,
                              uint64_t order, size_t owner) {
+  const std::string& task = start.task_;
+  // No owner can know of another kind what a later life makes of its order.
+  const bool kind_known = !troubles_.kinds_ || start.worker_->started_ms_ ==
+                                                   worker.info_.started_ms_;
   const std::string id = JobOf(task);
   CallerJob& job = jobs_[id];
   const uint32_t number = StepOf(task);
@@ -229,7 +238,7 @@
   // An instance can't know of a change while it doesn't read the store.
   const Resources most = ReadsStore(owner) ? CountedCapacity(worker)
                                            : Resources{kCpuMilli, 4096, 0};
-  if (!Fits(used, most)) {
+  if (kind_known && !Fits(used, most)) {
     Violate(HostedRule::kRoom, task + " at " + worker.info_.id_.value_);
   }
   for (const Worker& other : workers_) {
@@ -252,7 +261,7 @@
     }
   }
   if (worker.info_.pool_ != job.spec_.pool_ ||
-      !HasLabel(worker.info_, step.label_)) {
+      (kind_known && !HasLabel(worker.info_, step.label_))) {
     Violate(HostedRule::kPlace, task + " at " + worker.info_.id_.value_);
   }
   CheckFailures(task, order);
@@ -438,7 +447,11 @@
   }
   Later(Between(1, 3), [this, waiting, ended] {
     Deliver(waiting.instance_, waiting.life_, [this, waiting, ended] {
-      TakeNote(waiting.hold_.worker_->id_, ended);
+      const WorkerId& polled = waiting.hold_.worker_->id_;
+      TakeNote(polled, ended);
+      if (breakage_ == HostedBreakage::kKeepKind) {
+        TellEntryAs(waiting.instance_, polled, ended.started_ms_);
+      }
       instances_[waiting.instance_].owner_->On(
           ended, now_, &instances_[waiting.instance_].owner_out_);
     });
@@ -530,6 +543,7 @@
     worker->info_.capacity_.cpu_milli_ = kCpuMilli;
   }
   ++worker->info_.started_ms_;
+  if (troubles_.kinds_ && under_its_id) BecomeOtherKind(worker);
   if (!under_its_id) worker->accepts_ms_ = worker->info_.started_ms_;
   Note("back ", worker->info_.id_.value_, " started ",
        worker->info_.started_ms_);
@@ -548,6 +562,27 @@
   Later(again + Between(1, kHeartbeatMs), list_present);
 }
 
+void HostedWorld::BecomeOtherKind(Worker* worker) {
+  ++seen_.other_kinds_;
+  std::string& kind = worker->info_.labels_.front();
+  kind = kind == "fast" ? "plain" : "fast";
+  worker->info_.capacity_.cpu_milli_ =
+      static_cast<int32_t>(Between(kCpuMilli / 2, kCpuMilli));
+  worker->earlier_capacities_.clear();
+  Note("other kind ", worker->info_.id_.value_, " ", kind, " ",
+       worker->info_.capacity_.cpu_milli_);
+}
+
+void HostedWorld::TellEntryAs(size_t index, const WorkerId& worker,
+                              int64_t started_ms) {
+  Instance& instance = instances_[index];
+  const auto seen = instance.seen_workers_.find(worker.value_);
+  if (seen == instance.seen_workers_.end()) return;
+  LeasedWorker entry = seen->second;
+  entry.started_ms_ = started_ms;
+  instance.owner_->Update(entry, now_, &instance.owner_out_);
+}
+
 void HostedWorld::List(const Worker& worker,
                        std::optional<LeasedWorker> entry) {
   const auto index = static_cast<size_t>(&worker - workers_.data());
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -236,6 +236,10 @@
   owner_.Update(between, now_, &out_);
   Play(1400);
   Assign(1);
+  BOOST_TEST(All<StartRun>().empty());
+  LeasedWorker present = MakeWorker("w");
+  present.started_ms_ = 9;
+  owner_.Update(present, now_, &out_);
   BOOST_TEST(All<StartRun>().size() == 1U);
 }
 
--- a/tests/unit/store_watcher_test.cc
+++ b/tests/unit/store_watcher_test.cc
@@ -254,6 +254,26 @@
   BOOST_TEST(!Watching());
 }
 
+// Guards against a restarted worker that stands idle because its new entry is
+// read a second later, and against a flood of calls while the store is away.
+BOOST_AUTO_TEST_CASE(AWatchCallIsMadeSoonerOnDemandButNotAfterAFailure) {
+  watcher_.Start();
+  AnswerList({Item("servers/a", "1")});
+  AnswerWatch({Item("servers/a", "2")});
+  watcher_.WatchSoon();
+  Tick(Duration{20});
+  BOOST_TEST(calls_.size() == 2U);
+  Tick(Duration{200});
+  BOOST_REQUIRE(calls_.size() == 3U);
+  BOOST_TEST(Watching());
+  Answer(0, "");
+  watcher_.WatchSoon();
+  Tick(Duration{100});
+  BOOST_TEST(calls_.size() == 3U);
+  Tick(Duration{200});
+  BOOST_TEST(calls_.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(ASampleIsReadSoonerOnDemandButNotAtOnce) {
   watcher_.Start();
   AnswerList({Item("servers/a", "1")});
--- a/tests/unit/worker_scheduler_fixture.h
+++ b/tests/unit/worker_scheduler_fixture.h
@@ -17,6 +17,7 @@
   Time now_{1000000};
   uint64_t last_serial_ = 0;
   std::set<uint64_t> answered_;
+  int64_t incarnation_ms_ = 7;  ///< Of the workers, as their lists tell it.
 
   static LeasedWorker MakeWorker(const std::string& id, int32_t cpu = 32000) {
     LeasedWorker worker;
@@ -60,7 +61,7 @@
     ended.call_ = call;
     ended.result_ = PollResult::kListed;
     ended.clock_ms_ = WorkerClock();
-    ended.started_ms_ = 7;
+    ended.started_ms_ = incarnation_ms_;
     return ended;
   }
 
