Let an unanswered start from before a restart count as possibly run

A start whose answer was lost, to a worker that restarted before the call timed out, was found never to have started: a stop was answered and lists missed it. Both come from the new incarnation. The one before may have run the task, and its caller was told "not run" (429) where the task had no other worker to go to.

Evidence that nothing has started now counts only for starts that were sent to the incarnation that gives it. A start that was refused, or that found no connection, is still known not to have run.

The test failed before.

--- a/src/worker_scheduler_answers.cc
+++ b/src/worker_scheduler_answers.cc
@@ -476,8 +476,11 @@
                                    : RunOverReason::kNeverStarted,
              out);
     if (!found->start_seen_at_) RememberVoided(worker, *found, now);
+    // An earlier incarnation may have run it, and can't be asked any more.
+    const bool may_have_run = found->sent_at_ <= worker->incarnation_since_;
     std::optional<Task> task = std::move(found->task_);
     RemoveRun(worker, key);
+    if (task && may_have_run) task->started_ = true;
     if (task) Requeue(std::move(*task), *worker, now, out);
   }
   // The remaining runs were started by an earlier owner. Their resources are
--- a/tests/unit/worker_incarnation_test.cc
+++ b/tests/unit/worker_incarnation_test.cc
@@ -141,6 +141,23 @@
   BOOST_TEST(owner_.stats().workers_slowed_ == 0U);
 }
 
+// Guards against "not run" for a task that an earlier incarnation had started:
+// its answer was lost, and the present one can't know of it.
+BOOST_AUTO_TEST_CASE(AStartBeforeARestartMayHaveRun) {
+  Acquire("w");
+  Assign(1);
+  incarnation_ms_ = 8;
+  for (int i = 0; i < 5; ++i) {
+    Advance(100);
+    AnswerPoll();
+    for (const StopRun& stop : All<StopRun>()) AnswerStop(stop);
+  }
+  BOOST_REQUIRE(owner_.waiting() == 1U);
+  BOOST_TEST((Last<RunOver>().reason_ == RunOverReason::kNeverStarted));
+  owner_.Drain(&out_);
+  BOOST_TEST(Last<ReportTask>().ended_.started_);
+}
+
 // What operators see of a worker of unknown kind.
 BOOST_AUTO_TEST_CASE(TellsWhetherARestartedWorkerIsDescribed) {
   Acquire("w");
