Change the configuration and keep connections in the soak

A whole request whose connection ends later than 200 ms after its last byte must have an answer, unless its process was killed. A process test stops a drained instance just before its end, with a request on each of 300 connections.

--- a/tests/process/hosted_connections_test.cc
+++ b/tests/process/hosted_connections_test.cc
@@ -10,6 +10,8 @@
 /// long in all: more than the interval at which it checks for timeouts.
 constexpr Duration kStopsAhead{400};
 constexpr Duration kStandsStill{1300};
+/// From the last call to a silent store to the end of the process.
+constexpr Duration kStoreTimeout{1500};
 /// Answered 404 at once.
 constexpr char kHead[] = "GET /nowhere HTTP/1.1\r\nHost: desk.example\r\n\r\n";
 
@@ -96,6 +98,33 @@
   BOOST_TEST(CountAnswers(404) == kConnections);
 }
 
+// Guards against requests on kept connections that the end of a drained process
+// resets unread.
+BOOST_AUTO_TEST_CASE(ARequestThatArrivesBeforeTheEndOfADrainIsAnswered) {
+  SendAll(kHead);
+  BOOST_REQUIRE(CountAnswers(404) == kConnections);
+  Report("PUT", "?store_silent=1");
+  c_.process().Signal(SIGTERM);
+  BOOST_REQUIRE(WaitForLog("event=stopped"));
+  c_.process().Signal(SIGSTOP);
+  std::vector<KeptCaller*> senders;
+  for (KeptCaller& caller : callers_) {
+    caller.Read();
+    // A caller that was told of the end sends elsewhere.
+    if (caller.ended()) continue;
+    caller.Send(kHead);
+    senders.push_back(&caller);
+  }
+  Wait(kStoreTimeout + Duration{100});
+  c_.process().Signal(SIGCONT);
+  CountAnswers();
+  BOOST_TEST(std::count_if(senders.begin(), senders.end(),
+                           [](const KeptCaller* sender) {
+                             return sender->status() == 0;
+                           }) == 0);
+  BOOST_TEST(c_.process().WaitExit() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -72,7 +72,7 @@
   for (const char* kind :
        {"stop-short", "stop-long", "kill", "crash", "crash-late", "term",
         "restart-worker", "late-starts", "late-stops", "late-polls",
-        "store-down", "store-mute", "store-stale", kEvacuations}) {
+        "store-down", "store-mute", "store-stale", kChanges, kEvacuations}) {
     kinds.emplace_back(kind);
   }
   return kinds;
@@ -118,6 +118,15 @@
   return "what=" + what;
 }
 
+std::string DrawLimits(Draw* draw) {
+  const bool short_idle = draw->Chance(50);
+  const bool short_head = draw->Chance(50);
+  return "idle_timeout_ms=" +
+         std::to_string(short_idle ? draw->Between(800, 2500) : 15000) +
+         "&header_timeout_ms=" +
+         std::to_string(short_head ? draw->Between(300, 1000) : 3000);
+}
+
 Plan DrawPlan(const Extent& extent, const std::vector<std::string>& named) {
   Plan plan;
   std::vector<std::string> kinds;
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -69,6 +69,10 @@
 /// connection, `drop-far` only the other one.
 std::vector<std::string> AllFaultKinds();
 
+/// Versions of the configuration in series, under callers that keep their
+/// connections.
+inline constexpr char kChanges[] = "changes";
+
 /// Evacuations of one of two data centres, each longer than its bound.
 inline constexpr char kEvacuations[] = "evacuations";
 
@@ -81,6 +85,10 @@
 /// @returns the query by which the proxy disturbs a path.
 std::string Disturbance(const Fault& fault, const std::string& what);
 
+/// @returns the query by which the configuration gets short or long limits of
+/// time, as often short as long.
+std::string DrawLimits(Draw* draw);
+
 Plan DrawPlan(const Extent& extent, const std::vector<std::string>& kinds);
 
 }  // namespace gentiandeal::soak
--- a/tests/soak/hosted_soak.cc
+++ b/tests/soak/hosted_soak.cc
@@ -13,6 +13,7 @@
 
 #include "evacuations.h"
 #include "fault_plan.h"
+#include "kept_callers.h"
 #include "process/hosted_process.h"
 #include "soak_record.h"
 
@@ -29,7 +30,6 @@
 using process::Proxy;
 using process::WaitUntil;
 
-constexpr int64_t kDeadlineMs = 3000;
 constexpr Duration kCallerWaits{kDeadlineMs};
 constexpr Duration kResendAfter{1300};
 constexpr size_t kMaxAttempts = 4;
@@ -55,13 +55,8 @@
   std::string logs_ = "hosted_soak_logs";
 };
 
-std::string InstanceName(int index) { return {static_cast<char>('a' + index)}; }
-
-/// As long as the key of an instance's record may be.
-std::string FullInstanceName(int index) {
-  constexpr size_t kLongest = 178;
-  std::string name = InstanceName(index);
-  return name.append(kLongest - name.size(), '-');
+bool Contains(const std::vector<std::string>& kinds, const char* kind) {
+  return std::count(kinds.begin(), kinds.end(), kind) > 0;
 }
 
 /// One seed's processes, callers and judgement.
@@ -73,8 +68,9 @@
         plan_(DrawPlan(extent, kinds)),
         logs_(std::move(logs)),
         draw_(extent.seed_ * 31 + 7),
-        centres_(std::count(kinds.begin(), kinds.end(), kEvacuations) > 0 ? 2
-                                                                          : 1),
+        kept_(extent.seed_),
+        centres_(Contains(kinds, kEvacuations) ? 2 : 1),
+        changes_configuration_(Contains(kinds, kChanges)),
         platform_("standin_hosted",
                   {"--workers", std::to_string(extent.workers_), "--views",
                    std::to_string(extent.instances_), "--slow-clocks",
@@ -98,6 +94,7 @@
       caller_.RunUntil([] { return false; }, kStep);
       RunTimers();
       for (auto& [id, job] : jobs_) Advance(&job);
+      kept_.Step(clock_.Now(), [&] { return MakeRequest(NextId(), 1, 40); });
     }
     StopInstances();
     BOOST_TEST(Judge() == 0, "seed " << extent_.seed_ << " breaks a rule");
@@ -144,6 +141,9 @@
       BOOST_REQUIRE(WaitUntil([&] { return one.process_->Ready(); }));
       BOOST_REQUIRE(WaitUntil([&] { return Serves(one); }));
     }
+    for (const Instance& one : instances_) {
+      if (changes_configuration_) kept_.Add(one.process_->callers());
+    }
   }
 
   /// Relays an address that one instance reads in the store.
@@ -198,24 +198,6 @@
     return id;
   }
 
-  static HttpRequest MakeRequest(const std::string& id, int tasks, int64_t ms) {
-    constexpr int kTaskCpuMilli = 14000;
-    constexpr int kTaskMemoryMb = 64;
-    const Json step = {{"count", tasks},
-                       {"cpu", kTaskCpuMilli},
-                       {"mem_mb", kTaskMemoryMb},
-                       {"est_ms", ms}};
-    Json body;
-    body["spec"] = std::to_string(ms);
-    body["best_effort"] = true;
-    body["phases"] = Json::array({step});
-    return {"POST",
-            "/case/" + id,
-            {{"Host", "desk.example"},
-             {"Deadline-Ms", std::to_string(kDeadlineMs)}},
-            body.dump()};
-  }
-
   void SendNew(const PlannedJob& planned) {
     const std::string id = NextId();
     Job& job = jobs_[id];
@@ -312,6 +294,7 @@
     if (fault.kind_ == "kill" || fault.kind_ == "term") return EndOne(fault);
     if (fault.kind_.rfind("crash", 0) == 0) return Crash(fault);
     if (fault.kind_ == kEvacuations) return Evacuate(fault);
+    if (fault.kind_ == kChanges) return ChangeConfiguration(fault);
     const std::string worker = "worker=" + std::to_string(fault.worker_);
     if (fault.kind_ == "restart-worker") {
       const int64_t entry_ms = fault.wide_ ? fault.short_ms_ : 0;
@@ -340,6 +323,15 @@
     Note(fault.kind_ + " " + change);
   }
 
+  /// Versions in series.
+  void ChangeConfiguration(const Fault& fault) {
+    for (int64_t i = 0; i < fault.repeats_; ++i) {
+      Later(clock_.Now() + Duration{i * fault.short_ms_}, [this, &fault] {
+        ChangePlatform(fault, "config?" + DrawLimits(&draw_));
+      });
+    }
+  }
+
   void Evacuate(const Fault& fault) {
     if (evacuations_.any_at(clock_.Now())) return;
     const std::string key = "=op/evacuate/" + Centre(fault.worker_);
@@ -412,12 +404,18 @@
       at = at + kLongJobsAhead;
     }
     Later(at, [this, &fault, instance, signal] {
-      At(instance).process_->process().Signal(signal);
+      Signal(instance, signal);
       Note(fault.kind_ + " " + InstanceName(instance));
       AwaitEnd(instance, Duration{fault.wide_ ? 0 : fault.hold_ms_});
     });
   }
 
+  void Signal(int instance, int signal) {
+    HostedInstanceProcess& process = *At(instance).process_;
+    if (signal == SIGKILL) kept_.Excuse(process.callers());
+    process.process().Signal(signal);
+  }
+
   void SendLongJobs(int instance, int64_t run_ms) {
     constexpr int kJobs = 3;
     constexpr int kTasks = 2;
@@ -452,7 +450,7 @@
     const Duration down{fault.long_ms_};
     Later(at, [this, instance, down] {
       Silence(instance);
-      At(instance).process_->process().Signal(SIGKILL);
+      Signal(instance, SIGKILL);
       proxy_.Disturb(At(instance).caller_path_, "what=reset");
       Note("crash " + InstanceName(instance));
       AwaitEnd(instance, down);
@@ -559,13 +557,14 @@
               << ", overbooked " << overbooked << ", refused but ran "
               << refused << ", evacuations " << evacuations_.count()
               << ", began there " << evacuated << ", bad ends " << bad_ends_
-              << std::endl;
+              << ", answered on kept connections " << kept_.answered()
+              << ", lost there " << kept_.lost() << std::endl;
     size_t printed = 0;
     for (const std::string& id : failed) {
       if (++printed <= kMaxPrinted) PrintJob(id, runs[id]);
     }
-    const size_t broken =
-        overlaps.size() + overbooked + refused + evacuated + bad_ends_;
+    const size_t broken = overlaps.size() + overbooked + refused + evacuated +
+                          bad_ends_ + kept_.lost();
     if (broken == 0) {
       std::filesystem::remove_all(logs_);
     } else {
@@ -613,7 +612,9 @@
   Plan plan_;
   std::string logs_;
   Draw draw_;
+  KeptCallers kept_;
   int centres_;
+  bool changes_configuration_;
   Evacuations evacuations_;
   MonotonicClock clock_;
   Folder folder_;
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -24,6 +24,38 @@
   int status_ = -1;  ///< 0: the connection was lost; -1: none yet.
 };
 
+inline std::string InstanceName(int index) {
+  return {static_cast<char>('a' + index)};
+}
+
+/// As long as the key of an instance's record may be.
+inline std::string FullInstanceName(int index) {
+  constexpr size_t kLongest = 178;
+  std::string name = InstanceName(index);
+  return name.append(kLongest - name.size(), '-');
+}
+
+inline constexpr int64_t kDeadlineMs = 3000;
+
+/// A job of one step.
+inline HttpRequest MakeRequest(const std::string& id, int tasks, int64_t ms) {
+  constexpr int kTaskCpuMilli = 14000;
+  constexpr int kTaskMemoryMb = 64;
+  const Json step = {{"count", tasks},
+                     {"cpu", kTaskCpuMilli},
+                     {"mem_mb", kTaskMemoryMb},
+                     {"est_ms", ms}};
+  Json body;
+  body["spec"] = std::to_string(ms);
+  body["best_effort"] = true;
+  body["phases"] = Json::array({step});
+  return {
+      "POST",
+      "/case/" + id,
+      {{"Host", "desk.example"}, {"Deadline-Ms", std::to_string(kDeadlineMs)}},
+      body.dump()};
+}
+
 struct Job {
   std::string id_;
   HttpRequest request_;
