Don't deny runs that a stopping instance is ending

A job sent again within the 400 ms between the drain limit and the end of the process got 429, not run, although its runs were still being stopped, or although it had crashed its workers: the check for stopping came before those that know of them.

--- a/src/job_coordinator.cc
+++ b/src/job_coordinator.cc
@@ -168,7 +168,6 @@
                         CoordinatorOutbox* out) {
   ++stats_.jobs_;
   const HostedJob& spec = submit.job_;
-  if (!accepts_) return Refuse(submit.request_, "stopping", {}, {}, out);
   const auto existing = jobs_by_id_.find(spec.id_);
   if (existing != jobs_by_id_.end()) {
     // The caller sent the job again before this instance noticed that the
@@ -208,6 +207,7 @@
                                    Slack(spec)});
     return;
   }
+  if (!accepts_) return Refuse(submit.request_, "stopping", {}, {}, out);
   const std::vector<const PoolLoad*> loads = PoolLoads(spec.pool_, now);
   if (loads.empty()) {
     const bool full = HasFullOwner(spec.pool_, now);
--- a/tests/unit/job_coordinator_test.cc
+++ b/tests/unit/job_coordinator_test.cc
@@ -348,6 +348,23 @@
   BOOST_TEST(coordinator_.idle());
 }
 
+// Guards against a refusal "not run" for a job whose runs are still being
+// stopped while the process ends.
+BOOST_AUTO_TEST_CASE(AStoppingInstanceDoesntDenyRunsThatItStops) {
+  coordinator_.OwnerLoadReported({"self"}, "west", Load({{32000, 1000, 0}}));
+  HostedJob job = Job("a", 1);
+  job.deadline_ = {20000};
+  Submit(job);
+  now_ = now_ + Duration{5000};
+  coordinator_.Resume(now_, &out_);
+  coordinator_.StopAccepting();
+  const RequestId again = Submit(job);
+  const auto answers = All<AnswerHostedJob>();
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST((answers[1].request_ == again));
+  BOOST_TEST((answers[1].outcome_ == HostedJobOutcome::kInterrupted));
+}
+
 // Guards against a caller that is answered only at the later deadline of the
 // request that came first.
 BOOST_AUTO_TEST_CASE(AJobSentAgainEndsAtTheEarliestDeadline) {
