Let the connection tell whether a body was discarded

An empty chunked body got 503, send it again, for ever: the codec took a body field without a body for one that had been discarded at the head.

--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -29,6 +29,8 @@
   std::string path_;  ///< Path and query.
   std::vector<HttpField> fields_;
   std::string body_;
+  /// Whether the body was discarded, since it wasn't going to be used.
+  bool body_discarded_ = false;
 };
 
 /// Compares header names without regard to case.
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -247,6 +247,7 @@
 void HttpClient::OnTimeout(evutil_socket_t /*fd*/, int16_t /*what*/,
                            void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
+  if (exchange->request_ == nullptr) return;  // its failure is reported next
   if (IsReady(*exchange)) {
     event_add(exchange->timer_, &kRecheckInterval);
     return;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -84,13 +84,26 @@
   request.fields_ = {{"Host", "desk.example"}, {"Content-Length", "120"}};
   const QueueTable before;
   BOOST_REQUIRE(!UsesBody(request, &before));
+  request.body_discarded_ = true;
   BOOST_TEST(ParseCallerRequest(request, &table_).reply_.status_ == 503);
   request.fields_[1] = {"Transfer-Encoding", "chunked"};
   BOOST_TEST(ParseCallerRequest(request, &table_).reply_.status_ == 503);
+  request.body_discarded_ = false;
   request.fields_[1] = {"Content-Length", "0"};
   BOOST_TEST(ParseCallerRequest(request, &table_).reply_.status_ == 400);
 }
 
+// Guards against a caller that is told to send an empty body again for ever.
+BOOST_AUTO_TEST_CASE(AnEmptyChunkedBodyIsInvalid) {
+  CallerRequest request;
+  request.method_ = "POST";
+  request.path_ = "/case/5c0e7a21d94b36f8";
+  request.fields_ = {{"Host", "desk.example"},
+                     {"Transfer-Encoding", "chunked"}};
+  BOOST_REQUIRE(UsesBody(request, &table_));
+  BOOST_TEST(ParseCallerRequest(request, &table_).reply_.status_ == 400);
+}
+
 BOOST_AUTO_TEST_CASE(RefusalsCarryRetryAfterInSeconds) {
   const HttpReply reply =
       ToReply({{1}, HostedJobOutcome::kNotRun, "overloaded", {1200}, {}, {}});
