Send replies and give time where the server was late twice

One way ends all connections that must go at once (EndNow): what is left of a reply is given to the kernel, or the request refused, unless its reply was sent before the rest of its body (kSkippingBody, a stray second reply before). An extension lasts a second. Each connection is looked at just before it is freed when the server ends, not all before the first. Without a memory limit a reply has the timeout of a head at least, whatever the idle timeout.

--- a/src/connection_timeout.cc
+++ b/src/connection_timeout.cc
@@ -21,7 +21,9 @@
       return std::min(limits_.request_timeout_,
                       limits_.head_timeout_ + TransferTime(bytes));
     case ConnectionWait::kReplySent:
-      if (!has_pace) return limits_.idle_timeout_;
+      if (!has_pace) {
+        return std::max(limits_.idle_timeout_, limits_.head_timeout_);
+      }
       return limits_.head_timeout_ + TransferTime(bytes);
     case ConnectionWait::kSkippedBody:
       return limits_.request_timeout_;
--- a/src/connection_timeout.h
+++ b/src/connection_timeout.h
@@ -2,7 +2,7 @@
 #define GENTIANDEAL_SRC_CONNECTION_TIMEOUT_H_
 
 #include <concepts>
-#include <utility>
+#include <optional>
 
 #include "http_limits.h"
 
@@ -42,6 +42,8 @@
   /// Longest time between the last reply and the close. What the sender still
   /// sends in this time is discarded.
   static constexpr Duration kLingerTimeout{2000};
+  /// Time that this server has to catch up.
+  static constexpr Duration kExtension{1000};
 
   void Begin(const HttpLimits& limits, Time now) {
     limits_ = limits;
@@ -50,28 +52,29 @@
   /// Begins another wait under the same limits.
   void Restart(Time now) {
     start_ = now;
-    extended_ = false;
+    extended_at_.reset();
   }
 
   /// @param bytes Received of a body, or of the reply that is being sent.
   Duration Limit(ConnectionWait wait, uint64_t bytes) const;
 
-  /// Whether the wait is over. A wait for a request isn't while bytes are
-  /// unread: they are one. Others are extended once, until the next check, if
-  /// the server itself has yet to read or write.
+  /// Checks whether the wait is over. A wait for a request isn't while bytes
+  /// are unread: they are one. Others are extended once if the server itself
+  /// has yet to read or write.
   template <SocketState Socket>
-  bool IsOver(ConnectionWait wait, uint64_t bytes, Time now,
-              const Socket& socket) {
+  bool CheckOver(ConnectionWait wait, uint64_t bytes, Time now,
+                 const Socket& socket) {
     if (wait == ConnectionWait::kNone || now - start_ <= Limit(wait, bytes)) {
       return false;
     }
     if (wait == ConnectionWait::kPeerEnd) return true;
-    const bool is_own_turn = wait == ConnectionWait::kReplySent
-                                 ? socket.IsWritable()
-                                 : socket.HasUnread();
-    if (!is_own_turn) return true;
+    const bool server_is_behind = wait == ConnectionWait::kReplySent
+                                      ? socket.IsWritable()
+                                      : socket.HasUnread();
+    if (!server_is_behind) return true;
     if (wait == ConnectionWait::kRequest) return false;
-    return std::exchange(extended_, true);
+    if (!extended_at_) extended_at_ = now;
+    return now - *extended_at_ >= kExtension;
   }
 
  private:
@@ -80,7 +83,7 @@
 
   HttpLimits limits_;
   Time start_;
-  bool extended_ = false;
+  std::optional<Time> extended_at_;
 };
 
 }  // namespace gentiandeal
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -103,8 +103,8 @@
   ~Impl() {
     closing_ = true;
     event_free(timeout_check_);
-    for (auto& [conn, connection] : connections_) connection->EndWithServer();
     while (!connections_.empty()) {
+      connections_.begin()->second->EndWithServer();
       evhtp_connection_free(connections_.begin()->first);
     }
     LogShed(shared_.memory_.TakePeak());
--- a/src/http_server_connection.cc
+++ b/src/http_server_connection.cc
@@ -189,7 +189,7 @@
 }
 
 void HttpServerConnection::CloseForOthers() {
-  RefuseNow(HttpRefusal::kMemory, Errc::kQueueFull, kMemoryInUse);
+  EndNow(HttpRefusal::kMemory, Errc::kQueueFull, kMemoryInUse);
   NoteUnanswered();
   FreeRequest();
   Close(HttpClose::kStalled);
@@ -207,25 +207,22 @@
   if (HasUnread()) count(HttpUnanswered::kUnread);
 }
 
-void HttpServerConnection::RefuseNow(HttpRefusal reason, Errc error,
-                                     std::string_view detail) {
-  if (phase_ == Phase::kAwaitingReply || phase_ == Phase::kClosing ||
-      IsSending() || !(reading_ || HasUnread())) {
-    return;
+void HttpServerConnection::EndNow(HttpRefusal reason, Errc error,
+                                  std::string_view detail) {
+  if (IsSending()) {
+    end_noted_ = SendBuffered(socket(), bufferevent_get_output(socket_));
+  } else if (phase_ != Phase::kAwaitingReply &&
+             phase_ != Phase::kSkippingBody && phase_ != Phase::kClosing &&
+             (reading_ || HasUnread())) {
+    refused_ = true;
+    ++shared_->shed_.refused_[static_cast<size_t>(reason)];
+    SendNow(socket(), RefusalText(503, error, detail));
   }
-  refused_ = true;
-  ++shared_->shed_.refused_[static_cast<size_t>(reason)];
-  SendNow(socket(), RefusalText(503, error, detail));
   DiscardUnread(socket());
 }
 
 void HttpServerConnection::EndWithServer() {
-  if (IsSending()) {
-    end_noted_ = SendBuffered(socket(), bufferevent_get_output(socket_));
-    DiscardUnread(socket());
-  } else {
-    RefuseNow(HttpRefusal::kStopping, Errc::kDraining, kServerEnds);
-  }
+  EndNow(HttpRefusal::kStopping, Errc::kDraining, kServerEnds);
 }
 
 void HttpServerConnection::OnLibraryClose() {
@@ -251,7 +248,7 @@
   const ConnectionWait wait = CurrentWait();
   const uint64_t bytes =
       wait == ConnectionWait::kBody ? body_bytes_read_ : reply_bytes_;
-  if (!timeout_.IsOver(wait, bytes, now, *this)) return false;
+  if (!timeout_.CheckOver(wait, bytes, now, *this)) return false;
   switch (wait) {
     case ConnectionWait::kHead:
     case ConnectionWait::kBody:
@@ -424,6 +421,7 @@
   body_bytes_read_ = 0;
   const bool has_body = chunked_ || remaining_bytes_ > 0;
   uses_body_ = !has_body || shared_->uses_body_(request_);
+  request_.body_discarded_ = !uses_body_;
   if (has_body && uses_body_ && http11_ && ExpectsContinue(request_.fields_)) {
     bufferevent_write(socket_, kContinue.data(), kContinue.size());
   }
--- a/src/http_server_connection.h
+++ b/src/http_server_connection.h
@@ -69,9 +69,9 @@
   void Refuse(HttpRefusal reason, int status, Errc error,
               std::string_view detail);
 
-  /// Closes the connection, whose memory or place others need. The sender of a
-  /// partial request is told that it was not run, if the kernel takes the
-  /// reply.
+  /// Closes the connection, whose memory or place others need. A reply is sent
+  /// first, and the sender of a request that has arrived, whole or in part, is
+  /// told that it was not run, both as far as the kernel takes it.
   void CloseForOthers();
 
   /// The other side has ended the connection.
@@ -156,9 +156,10 @@
   /// Starts the timeout of the next wait, under the limits in force now.
   void BeginWait() { timeout_.Begin(shared_->limits_, shared_->clock_.Now()); }
   ConnectionWait CurrentWait() const;
-  /// Tells the sender of a request that has arrived, whole or in part, that it
-  /// isn't run, just before the connection is freed.
-  void RefuseNow(HttpRefusal reason, Errc error, std::string_view detail);
+  /// Just before the connection is freed: sends what is left of a reply as far
+  /// as the kernel takes it, or refuses a request that has arrived, whole or in
+  /// part.
+  void EndNow(HttpRefusal reason, Errc error, std::string_view detail);
   void Close(HttpClose reason);
   void SetState(ClientState state);
   bool IsSending() const;
--- a/tests/unit/connection_timeout_test.cc
+++ b/tests/unit/connection_timeout_test.cc
@@ -27,7 +27,7 @@
   }
 
   bool IsOver(ConnectionWait wait, int64_t at_ms, uint64_t bytes = 0) {
-    return timeout_.IsOver(wait, bytes, Time{at_ms}, socket_);
+    return timeout_.CheckOver(wait, bytes, Time{at_ms}, socket_);
   }
 };
 
--- a/tests/unit/http_server_ends_test.cc
+++ b/tests/unit/http_server_ends_test.cc
@@ -177,6 +177,62 @@
   BOOST_TEST(!sender.reset());
 }
 
+// Guards against replies that are dropped unsent when new connections need the
+// places of their own after a stall: the time since their last progress is that
+// of the server.
+BOOST_AUTO_TEST_CASE(QueuedRepliesAreSentWhenOthersNeedTheirPlaces) {
+  constexpr size_t kNumber = 100;
+  HttpServerOptions options;
+  options.memory_.max_connections_ = kNumber;
+  std::vector<RequestId> requests;
+  HttpServerEvents events;
+  events.request_ = [&](RequestId id, const CallerRequest&) {
+    requests.push_back(id);
+  };
+  server_ = std::make_unique<HttpServer>(base_.get(), events, options);
+  BOOST_REQUIRE(!server_->Listen({"127.0.0.1", 0}));
+  std::list<TestSocket> senders;
+  for (size_t i = 1; i <= kNumber; ++i) {
+    senders.emplace_back(server_->address()).Send(kRequest);
+    BOOST_REQUIRE(RunUntil(base_.get(), [&] { return requests.size() == i; }));
+  }
+  std::list<TestSocket> others;
+  for (size_t i = 0; i < kNumber; ++i) others.emplace_back(server_->address());
+  for (const RequestId id : requests) server_->Reply(id, JsonReply(200, "{}"));
+  StandStill(ClientMemory::kMinStall + Duration{100});
+  size_t answered = 0;
+  for (TestSocket& sender : senders) {
+    if (Receives(&sender, "{}")) ++answered;
+  }
+  BOOST_TEST(answered == kNumber);
+}
+
+// Guards against an extension that ends with the next check, which may follow
+// a late one at once.
+BOOST_AUTO_TEST_CASE(HeadsThatAreWholeAreReadThoughTheServerIsLateTwice) {
+  HttpServerOptions options;
+  options.limits_.head_timeout_ = {200};
+  const Time start = clock_.Now();
+  Start(options);
+  std::list<TestSocket> senders;
+  for (int i = 0; i < 200; ++i) {
+    senders.emplace_back(server_->address()).Send("GET /a HTTP/1.1\r\n");
+    for (int pass = 0; pass < 3; ++pass) {
+      event_base_loop(base_.get(), EVLOOP_NONBLOCK);
+    }
+  }
+  for (TestSocket& sender : senders) sender.Send("Host: a\r\n\r\n");
+  // The check is due after 1 and 2 s.
+  StandStill(start + Duration{1950} - clock_.Now());
+  event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+  StandStill(Duration{100});
+  size_t answered = 0;
+  for (TestSocket& sender : senders) {
+    if (Receives(&sender, reply_)) ++answered;
+  }
+  BOOST_TEST(answered == senders.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
