--- a/tests/process/hosted_stop_test.cc
+++ b/tests/process/hosted_stop_test.cc
@@ -61,8 +61,9 @@
   constexpr size_t kJobs = 150;
   Report("PUT", "?store_answer_ms=350");
   std::vector<SentBy> sent(kJobs);
-  for (SentBy& one : sent)
+  for (SentBy& one : sent) {
     one.caller_ = std::make_unique<RawCaller>(a_.callers());
+  }
   a_.process().Signal(SIGTERM);
   Wait(Duration{2000});
   size_t next = 0;
