--- a/src/hosted_instance.h
+++ b/src/hosted_instance.h
@@ -103,7 +103,6 @@
   static constexpr Duration kLinkInterval{200};
   /// Interval between reports of the jobs that have been open for long.
   static constexpr Duration kOpenJobsInterval{100};
-
   static constexpr Duration kLogFlushInterval{100};
 
   InstanceRecord MakeRecord() const {
