--- a/tests/standins/hosted_worker.h
+++ b/tests/standins/hosted_worker.h
@@ -66,9 +66,11 @@
   };
 
   void EndLife() {
+    // The server sends its replies before it ends; a worker that is gone tells
+    // nothing.
+    waiting_ = RequestId{};
     while (!runs_.empty()) End(runs_.begin()->first, "gone");
     server_.reset();
-    waiting_ = RequestId{};
     fence_ = 0;
     lease_ = 0;
     last_end_ = 0;
