--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -34,9 +34,9 @@
 class Record:
     """What was sent, answered and run, one line each."""
 
-    def __init__(self, folder):
+    def __init__(self, file):
         self.began = time.monotonic()
-        self.file = open(pathlib.Path(folder) / "record.txt", "w")
+        self.file = open(file, "w")
         self.lock = threading.Lock()
 
     def now(self):
@@ -64,8 +64,8 @@
 
 
 class Deployment:
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_file):
+        self.record = Record(record_file)
         self.scratch = tempfile.TemporaryDirectory()
         self.processes = []
         self.ports = []
@@ -220,12 +220,12 @@
                        "phases": steps})
 
 
-def run_case(folder, play):
+def run_case(record_file, play):
     """Plays a case with its own deployment, and exits as `run.sh` must."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.alarm(118)
     try:
-        with Deployment(folder) as deployment:
+        with Deployment(record_file) as deployment:
             deployment.record.write("trouble", trouble)
             broken = play(deployment, trouble)
             deployment.record.write("rule", "broken" if broken else "held")
