review: a few jobs with long step lists keep an instance from answering

The critical path is computed anew for each task and owner; on a quarter of a core the instance misses 10 probes in a row.

--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -565,3 +565,82 @@
                     if two.began < end and one.began < (two.ended or now()):
                         pairs.append((one, two))
         return pairs
+
+
+async def limit_processor(instance):
+    """A core of which the machine has a quarter: 25 ms of each tenth of a
+    second."""
+    while instance.process.returncode is None:
+        instance.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.075)
+        instance.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.025)
+
+
+class Probe:
+    """The platform's probe: once a second, answered within that second."""
+
+    def __init__(self, platform, instance):
+        self.platform, self.instance = platform, instance
+        self.misses = self.in_a_row = self.most_in_a_row = self.total = 0
+
+    async def run(self):
+        while True:
+            began = now()
+            try:
+                status, _ = await asyncio.wait_for(
+                    request(self.instance.ready, "GET", "/-/readyz"), 1)
+            except (OSError, asyncio.TimeoutError):
+                status = None
+            self.total += 1
+            if status == 200:
+                self.in_a_row = 0
+            else:
+                self.misses += 1
+                self.in_a_row += 1
+                self.most_in_a_row = max(self.most_in_a_row, self.in_a_row)
+                self.platform.record("probe %s missed (%s)" % (
+                    self.instance.name, status))
+            await asyncio.sleep(max(0, began + 1 - now()))
+
+
+class Caller:
+    """A caller that keeps to the pages: what is lost or 502 or 504 is sent
+    again 1.3 s later, to the next instance, once."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.ends = {}
+        self.pending = set()
+
+    async def submit(self, number):
+        status = None
+        for attempt in range(2):
+            to = self.platform.instances[
+                (number + attempt) % len(self.platform.instances)]
+            began = now()
+            try:
+                status, _ = await asyncio.wait_for(
+                    request(to.callers, "POST", "/case/%016x" % number,
+                            job({"s": 0.9}, count=2, cpu=4000, est_ms=900),
+                            [("Deadline-Ms", "1500")]), 1.6)
+            except (OSError, asyncio.TimeoutError):
+                status = None
+            self.platform.record("job %016x to %s: %s after %d ms" % (
+                number, to.name, status, (now() - began) * 1000))
+            if status not in (None, 502, 504):
+                break
+            await asyncio.sleep(1.3)
+        self.ends[status] = self.ends.get(status, 0) + 1
+
+    async def run(self, seconds):
+        until = now() + seconds
+        number = 0
+        while now() < until:
+            number += 1
+            task = asyncio.ensure_future(self.submit(number))
+            self.pending.add(task)
+            task.add_done_callback(self.pending.discard)
+            await asyncio.sleep(0.2)
+        if self.pending:
+            await asyncio.wait(self.pending)
