--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -27,7 +27,7 @@
     """What was sent, answered and run, in the order in which it was seen."""
 
     def __init__(self, path):
-        self.file = open(path, "w")
+        self.file = open(path, "a")
         self.began = now()
 
     def __call__(self, text):
@@ -515,10 +515,10 @@
 class Deployment:
     max_hold_ms = 1000
 
-    def __init__(self, folder_of_case):
+    def __init__(self, record):
         # Ends what was started also when the script takes too long.
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-        self.record = Record(os.path.join(folder_of_case, "record.txt"))
+        self.record = Record(record)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
         self.runs = []
